Skeleton: build, checks, values, messages, settings, events

The types between the parts are settled here, so that the parts can be written side by side: configuration, messages between entry and endpoint processes, peer sessions, HTTP, replica, policy modules, events, metrics, traces.

--- /dev/null
+++ b/src/base/settings.cc
@@ -0,0 +1,195 @@
+#include "base/settings.h"
+
+#include <absl/strings/str_join.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include "base/decode.h"
+#include "base/settings_fields.h"
+
+namespace citronwharf {
+namespace {
+
+using detail::field_type;
+using detail::settings_field;
+using nlohmann::json;
+
+constexpr const char* address_pattern =
+    "^[0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}:[0-9]{1,5}$";
+
+json type_schema(field_type type) {
+  switch (type) {
+    case field_type::text:
+      return {{"type", "string"}};
+    case field_type::name:
+      return {{"type", "string"}, {"pattern", "^[A-Za-z0-9_.-]{1,64}$"}};
+    case field_type::address:
+      return {{"type", "string"}, {"pattern", address_pattern}};
+    case field_type::addresses:
+      return {{"type", "array"}, {"items", type_schema(field_type::address)}};
+    case field_type::roles:
+      return {{"type", "array"},
+              {"minItems", 1},
+              {"uniqueItems", true},
+              {"items", {{"enum", {"entry", "endpoint", "control"}}}}};
+    case field_type::integer:
+      return {{"type", "integer"}, {"minimum", 1}};
+    case field_type::share:
+      return {{"type", "number"}, {"minimum", 0}, {"maximum", 1}};
+  }
+  return {};
+}
+
+json object_schema() {
+  return {{"type", "object"},
+          {"additionalProperties", false},
+          {"properties", json::object()}};
+}
+
+// "/group/name" gives "group"; "/name" gives "".
+std::string group_of(const std::string& pointer) {
+  const auto slash = pointer.find('/', 1);
+  return slash == std::string::npos ? "" : pointer.substr(1, slash - 1);
+}
+
+std::string name_of(const std::string& pointer) {
+  return pointer.substr(pointer.rfind('/') + 1);
+}
+
+// valijson names a place as <root>["a"][0]; operators get "/a/0".
+std::string to_pointer(const std::vector<std::string>& context) {
+  std::string pointer;
+  for (std::string step : context) {
+    if (step == "<root>") {
+      continue;
+    }
+    step.erase(std::remove_if(step.begin(), step.end(),
+                              [](char letter) {
+                                return letter == '[' || letter == ']' ||
+                                       letter == '"';
+                              }),
+               step.end());
+    pointer += '/' + step;
+  }
+  return pointer;
+}
+
+json with_defaults(const json& document) {
+  json whole = settings{};
+  whole.merge_patch(document);
+  return whole;
+}
+
+void check_role_needs(const settings& in, std::vector<settings_fault>& faults) {
+  if (has_role(in, "control") && in.data_folder.empty()) {
+    faults.push_back({"/data_folder", "needed by role control"});
+  }
+  if (has_role(in, "control") && in.operator_token_file.empty()) {
+    faults.push_back({"/operator_token_file", "needed by role control"});
+  }
+  if (has_role(in, "endpoint") && in.engine.address.empty()) {
+    faults.push_back({"/engine/address", "needed by role endpoint"});
+  }
+  if (!has_role(in, "control") && in.control.seeds.empty()) {
+    faults.push_back({"/control/seeds", "needed without role control"});
+  }
+}
+
+}  // namespace
+
+bool has_role(const settings& in, const std::string& role) {
+  return std::find(in.roles.begin(), in.roles.end(), role) != in.roles.end();
+}
+
+json settings_schema() {
+  json schema = object_schema();
+  schema["$schema"] = "http://json-schema.org/draft-07/schema#";
+  schema["title"] = "Settings of citronwharfd";
+  for (const settings_field& field : detail::settings_fields()) {
+    json entry = type_schema(field.type);
+    entry["description"] = field.meaning;
+    const std::string group = group_of(field.pointer);
+    json& owner = group.empty() ? schema : schema["properties"][group];
+    if (owner.is_null()) {
+      owner = object_schema();
+    }
+    owner["properties"][name_of(field.pointer)] = entry;
+    if (field.required) {
+      owner["required"].push_back(name_of(field.pointer));
+    }
+  }
+  return schema;
+}
+
+std::string settings_page() {
+  const json defaults = settings{};
+  std::string page =
+      "# Settings\n\nPrinted by `citronwharfd --print_settings`. One JSON file "
+      "a process; unknown names are\nrefused, and `citronwharfd --check "
+      "--settings FILE` names every fault with its\nJSON pointer.\n\n"
+      "| setting | unit | default | meaning |\n| --- | --- | --- | --- |\n";
+  for (const settings_field& field : detail::settings_fields()) {
+    const std::string value =
+        field.required ? "required"
+                       : defaults.at(json::json_pointer(field.pointer)).dump();
+    page += fmt::format("| `{}` | {} | {} | {} |\n", field.pointer, field.unit,
+                        value, field.meaning);
+  }
+  return page;
+}
+
+std::vector<settings_fault> check_settings(const json& document) {
+  valijson::Schema schema;
+  const json schema_document = settings_schema();
+  valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_document);
+  valijson::SchemaParser().populateSchema(schema_adapter, schema);
+
+  valijson::adapters::NlohmannJsonAdapter target(document);
+  valijson::ValidationResults results;
+  std::vector<settings_fault> faults;
+  if (!valijson::Validator().validate(schema, target, &results)) {
+    valijson::ValidationResults::Error error;
+    while (results.popError(error)) {
+      faults.push_back({to_pointer(error.context), error.description});
+    }
+  }
+  if (faults.empty()) {
+    check_role_needs(read_settings(document), faults);
+  }
+  return faults;
+}
+
+settings read_settings(const json& document) {
+  return with_defaults(document).get<settings>();
+}
+
+absl::StatusOr<settings> load_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return absl::NotFoundError(fmt::format("{} cannot be read", path));
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  const auto document = parse_json(text.str());
+  if (!document.ok()) {
+    return document.status();
+  }
+  const std::vector<settings_fault> faults = check_settings(*document);
+  if (!faults.empty()) {
+    return absl::InvalidArgumentError(absl::StrJoin(
+        faults, "\n", [](std::string* out, const settings_fault& fault) {
+          *out += fmt::format("{}: {}", fault.pointer, fault.message);
+        }));
+  }
+  return read_settings(*document);
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,40 @@
+/// Values of HTTP requests and responses.
+#ifndef CITRONWHARF_NET_HTTP_H_
+#define CITRONWHARF_NET_HTTP_H_
+
+#include <string>
+#include <vector>
+
+#include "wire/request_messages.h"
+
+namespace citronwharf {
+
+struct http_request {
+  std::string method;
+  std::string target;  ///< path and query
+  std::vector<header_field> headers;
+  std::string body;
+  std::string remote;  ///< "ip:port" of the caller
+};
+CITRONWHARF_VALUE(http_request, method, target, headers, body, remote)
+
+struct http_response {
+  int status = 200;
+  std::vector<header_field> headers;
+  std::string body;
+};
+CITRONWHARF_VALUE(http_response, status, headers, body)
+
+/// Returns the value of the first header `name`, compared without case, or "".
+std::string find_header(const std::vector<header_field>& headers,
+                        const std::string& name);
+/// Returns how often the header `name` stands there.
+int count_header(const std::vector<header_field>& headers,
+                 const std::string& name);
+
+/// Makes a JSON response. Example: json_response(200, "{}")
+http_response json_response(int status, std::string body);
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_NET_HTTP_H_
--- /dev/null
+++ b/src/observe/event.h
@@ -0,0 +1,54 @@
+/// Numbered log events. The catalogue is observe/events.def; docs/EVENTS.md is
+/// printed from it.
+#ifndef CITRONWHARF_OBSERVE_EVENT_H_
+#define CITRONWHARF_OBSERVE_EVENT_H_
+
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+namespace citronwharf {
+
+enum class severity { info, warning, error };
+
+/// One entry of the catalogue.
+struct event_type {
+  int number;
+  const char* name;
+  severity level;
+  const char* text;    ///< fmt format string over the fields in order
+  const char* fields;  ///< names of the fields, separated by commas
+  const char* cause;
+  const char* action;  ///< what an operator does
+};
+
+namespace events {
+#define CITRONWHARF_EVENT(number, name, level, text, fields, cause, action) \
+  inline constexpr event_type name{number, #name, severity::level, text,    \
+                                   fields, cause, action};
+#include "observe/events.def"
+#undef CITRONWHARF_EVENT
+}  // namespace events
+
+/// Returns the catalogue in order of number. Thread-safe.
+std::vector<event_type> all_events();
+
+/// Returns docs/EVENTS.md.
+std::string events_page();
+
+namespace detail {
+void write_event(const event_type& type, const std::string& text);
+}  // namespace detail
+
+/// Logs an event through glog as "CW<number> name: text". Secrets and prompts
+/// are never fields. Thread-safe.
+/// Example: log_event(events::session_up, peer.name, peer.incarnation);
+template <typename... Fields>
+void log_event(const event_type& type, const Fields&... fields) {
+  detail::write_event(type, fmt::format(fmt::runtime(type.text), fields...));
+}
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_OBSERVE_EVENT_H_
