--- a/src/wire/request_messages.h
+++ b/src/wire/request_messages.h
@@ -33,6 +33,7 @@
 struct endpoint_load {
   std::uint64_t incarnation = 0;  ///< of the endpoint process
   std::int32_t pieces_total = 0;
+  std::int32_t piece_tokens = 0;       ///< tokens that one piece holds
   std::int32_t pieces_free = 0;        ///< neither held nor promised
   std::int32_t running = 0;            ///< requests in the engine
   std::int32_t waiting = 0;            ///< requests in the endpoint's queue
@@ -41,9 +42,9 @@
   std::int64_t token_interval_us = 0;  ///< decode: present time between tokens
   bool leaving = false;
 };
-CITRONWHARF_VALUE(endpoint_load, incarnation, pieces_total, pieces_free,
-                  running, waiting, queue_delay_us, tokens_per_second,
-                  token_interval_us, leaving)
+CITRONWHARF_VALUE(endpoint_load, incarnation, pieces_total, piece_tokens,
+                  pieces_free, running, waiting, queue_delay_us,
+                  tokens_per_second, token_interval_us, leaving)
 
 /// Why an endpoint did not do what it was asked.
 enum class failure_reason {
@@ -51,6 +52,7 @@
   wrong_incarnation,  ///< addressed to an earlier incarnation: not run
   leaving,            ///< draining: not run
   no_memory,          ///< no piece free in time: not run
+  too_large,          ///< more than the engine's memory ever holds: not run
   queue_full,         ///< the queue's bound is reached: not run
   deadline,           ///< cannot or did not meet the deadline
   export_expired,     ///< the exported prefill is gone
@@ -65,6 +67,7 @@
                      {failure_reason::wrong_incarnation, "wrong_incarnation"},
                      {failure_reason::leaving, "leaving"},
                      {failure_reason::no_memory, "no_memory"},
+                     {failure_reason::too_large, "too_large"},
                      {failure_reason::queue_full, "queue_full"},
                      {failure_reason::deadline, "deadline"},
                      {failure_reason::export_expired, "export_expired"},
