Sessions between processes, HTTP server and client

peer_hub carries typed CBOR frames over websocketpp, one authenticated session a pair; http_server and http_client wrap Beast.

--- /dev/null
+++ b/src/net/address.cc
@@ -0,0 +1,33 @@
+#include "net/address.h"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+namespace citronwharf {
+namespace {
+
+constexpr unsigned max_port = 65535;
+
+}  // namespace
+
+absl::StatusOr<boost::asio::ip::tcp::endpoint> parse_address(
+    const std::string& text) {
+  const auto colon = text.rfind(':');
+  unsigned port = 0;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(text.substr(colon + 1), &port) || port > max_port) {
+    return absl::InvalidArgumentError(fmt::format("{} is no ip:port", text));
+  }
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(text.substr(0, colon), error);
+  if (error) {
+    return absl::InvalidArgumentError(fmt::format("{} is no ip:port", text));
+  }
+  return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+std::string format_address(const boost::asio::ip::tcp::endpoint& address) {
+  return fmt::format("{}:{}", address.address().to_string(), address.port());
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/net/handshake.cc
@@ -0,0 +1,47 @@
+#include "net/handshake.h"
+
+#include <absl/strings/escaping.h>
+#include <glog/logging.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#include <array>
+
+namespace citronwharf {
+namespace {
+
+constexpr std::size_t nonce_bytes = 16;
+
+std::string to_hex(const unsigned char* data, std::size_t size) {
+  return absl::BytesToHexString(
+      absl::string_view(reinterpret_cast<const char*>(data), size));
+}
+
+}  // namespace
+
+std::string make_nonce() {
+  std::array<unsigned char, nonce_bytes> bytes{};
+  CHECK_EQ(RAND_bytes(bytes.data(), static_cast<int>(bytes.size())), 1);
+  return to_hex(bytes.data(), bytes.size());
+}
+
+session_proof make_proof(const std::string& secret, bool dialled,
+                         const session_hello& own, const session_hello& peer) {
+  const std::string text =
+      nlohmann::json{dialled ? "dialled" : "accepted", own, peer}.dump();
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned size = 0;
+  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       digest.data(), &size);
+  return session_proof{to_hex(digest.data(), size)};
+}
+
+bool same_proof(const session_proof& lhs, const session_proof& rhs) {
+  return lhs.mac.size() == rhs.mac.size() &&
+         CRYPTO_memcmp(lhs.mac.data(), rhs.mac.data(), lhs.mac.size()) == 0;
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,266 @@
+#include "net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "net/address.h"
+
+namespace citronwharf {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// The connection of one call; it lives on in its handlers until they have run.
+class call_state : public std::enable_shared_from_this<call_state> {
+ public:
+  call_state(asio::io_context& loop, http_call_options options,
+             http_call_handlers handlers)
+      : options_(std::move(options)),
+        handlers_(std::move(handlers)),
+        socket_(loop),
+        timer_(loop) {
+    parser_.eager(true);
+    parser_.body_limit(options_.max_body_bytes);
+  }
+
+  void start(const http_request& request) {
+    prepare(request);
+    const auto address = parse_address(options_.address);
+    if (!address.ok()) {
+      asio::post(socket_.get_executor(),
+                 [self = shared_from_this(), status = address.status()] {
+                   self->fail(status);
+                 });
+      return;
+    }
+    arm(options_.connect_timeout, "connect timed out");
+    socket_.async_connect(*address,
+                          [self = shared_from_this()](error_code error) {
+                            self->connected(error);
+                          });
+  }
+
+  void abandon() {
+    ended_ = true;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    handlers_ = {};
+  }
+
+ private:
+  void prepare(const http_request& request) {
+    message_.version(11);
+    message_.method_string(request.method);
+    message_.target(request.target);
+    message_.set(http::field::host, options_.address);
+    for (const header_field& field : request.headers) {
+      message_.insert(field.name, field.value);
+    }
+    message_.body() = request.body;
+    message_.keep_alive(false);
+    message_.prepare_payload();
+  }
+
+  void connected(error_code error) {
+    if (ended_) {
+      return;
+    }
+    if (error) {
+      fail(absl::UnavailableError("connect: " + error.message()));
+      return;
+    }
+    socket_.set_option(tcp::no_delay(true), error);
+    sent_ = true;
+    arm(options_.idle_timeout, "no answer in time");
+    http::async_write(
+        socket_, message_,
+        [self = shared_from_this()](error_code failed, std::size_t /*n*/) {
+          self->written(failed);
+        });
+  }
+
+  void written(error_code error) {
+    if (ended_) {
+      return;
+    }
+    if (error) {
+      fail(absl::UnavailableError("write: " + error.message()));
+      return;
+    }
+    read();
+  }
+
+  void read() {
+    arm(options_.idle_timeout, "no answer in time");
+    http::async_read_some(
+        socket_, buffer_, parser_,
+        [self = shared_from_this()](error_code error, std::size_t /*n*/) {
+          self->on_read(error);
+        });
+  }
+
+  void on_read(error_code error) {
+    if (ended_) {
+      return;
+    }
+    // An answer without length ends where the server closes.
+    if (error == http::error::end_of_stream && parser_.is_header_done() &&
+        parser_.need_eof()) {
+      parser_.put_eof(error);
+    }
+    if (error) {
+      fail(absl::UnavailableError("read: " + error.message()));
+      return;
+    }
+    deliver();
+  }
+
+  void deliver() {
+    // A handler may destroy the call: keep this state for the moment.
+    const auto self = shared_from_this();
+    if (parser_.is_header_done() && !head_given_) {
+      head_given_ = true;
+      const http_response head = read_head();
+      if (handlers_.on_head) {
+        handlers_.on_head(head);
+      }
+    }
+    std::string& body = parser_.get().body();
+    if (!ended_ && !body.empty()) {
+      const std::string part = std::move(body);
+      body.clear();
+      if (handlers_.on_body) {
+        handlers_.on_body(part);
+      }
+    }
+    if (ended_) {
+      return;
+    }
+    if (!parser_.is_done()) {
+      read();
+      return;
+    }
+    auto done = std::move(handlers_.on_done);
+    abandon();
+    if (done) {
+      done();
+    }
+  }
+
+  http_response read_head() {
+    http_response head;
+    head.status = static_cast<int>(parser_.get().result_int());
+    for (const auto& field : parser_.get()) {
+      head.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    return head;
+  }
+
+  void fail(const absl::Status& status) {
+    if (ended_) {
+      return;
+    }
+    auto failed = std::move(handlers_.on_failure);
+    abandon();
+    if (failed) {
+      failed(http_failure{status, sent_});
+    }
+  }
+
+  void arm(duration limit, const char* what) {
+    timer_.expires_after(limit);
+    timer_.async_wait([weak = weak_from_this(), what](error_code error) {
+      const auto self = weak.lock();
+      if (!error && self) {
+        self->fail(absl::DeadlineExceededError(what));
+      }
+    });
+  }
+
+  http_call_options options_;
+  http_call_handlers handlers_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  http::request<http::string_body> message_;
+  beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  bool sent_ = false;
+  bool head_given_ = false;
+  bool ended_ = false;
+};
+
+class running_call : public http_call {
+ public:
+  explicit running_call(std::shared_ptr<call_state> state)
+      : state_(std::move(state)) {}
+  ~running_call() override { state_->abandon(); }
+  running_call(const running_call&) = delete;
+  running_call& operator=(const running_call&) = delete;
+
+ private:
+  std::shared_ptr<call_state> state_;
+};
+
+}  // namespace
+
+std::unique_ptr<http_call> start_http_call(asio::io_context& loop,
+                                           http_call_options options,
+                                           const http_request& request,
+                                           http_call_handlers handlers) {
+  auto state = std::make_shared<call_state>(loop, std::move(options),
+                                            std::move(handlers));
+  state->start(request);
+  return std::make_unique<running_call>(std::move(state));
+}
+
+std::unique_ptr<http_call> fetch(
+    asio::io_context& loop, http_call_options options,
+    const http_request& request,
+    std::function<void(absl::StatusOr<http_response>, bool)> done) {
+  // The handlers of one call share the answer under way and `done`.
+  struct collected {
+    http_response response;
+    std::function<void(absl::StatusOr<http_response>, bool)> done;
+  };
+  auto shared = std::make_shared<collected>();
+  shared->done = std::move(done);
+  http_call_handlers handlers;
+  handlers.on_head = [shared](const http_response& head) {
+    shared->response = head;
+  };
+  handlers.on_body = [shared](const std::string& part) {
+    shared->response.body += part;
+  };
+  handlers.on_done = [shared] {
+    shared->done(std::move(shared->response), true);
+  };
+  handlers.on_failure = [shared](const http_failure& failure) {
+    shared->done(failure.status, failure.sent);
+  };
+  return start_http_call(loop, std::move(options), request,
+                         std::move(handlers));
+}
+
+absl::StatusOr<http_response> fetch_blocking(http_call_options options,
+                                             const http_request& request) {
+  asio::io_context loop;
+  absl::StatusOr<http_response> answer = absl::UnknownError("no answer");
+  const auto call = fetch(loop, std::move(options), request,
+                          [&](absl::StatusOr<http_response> got,
+                              bool /*sent*/) { answer = std::move(got); });
+  loop.run();
+  return answer;
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,532 @@
+#include "net/http_server.h"
+
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+#include "net/address.h"
+
+namespace citronwharf {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+http_response problem(int status, const std::string& title) {
+  http_response out;
+  out.status = status;
+  out.headers = {{"Content-Type", "application/problem+json"},
+                 {"X-Outcome", "not-run"}};
+  out.body = nlohmann::json{
+      {"type", "about:blank"},
+      {"title", title},
+      {"status",
+       status}}.dump();
+  return out;
+}
+
+http::response<http::string_body> to_beast(const http_response& in,
+                                           bool keep_alive) {
+  http::response<http::string_body> out;
+  out.version(11);
+  out.result(static_cast<unsigned>(in.status));
+  for (const header_field& field : in.headers) {
+    out.insert(field.name, field.value);
+  }
+  out.body() = in.body;
+  out.keep_alive(keep_alive);
+  return out;
+}
+
+}  // namespace
+
+class connection;
+
+// Shared by the server object and its connections, which end on their own.
+class http_server::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& loop, http_server_options options, handler on_request)
+      : options_(std::move(options)),
+        on_request_(std::move(on_request)),
+        loop_(loop),
+        acceptor_(loop) {}
+
+  absl::StatusOr<std::uint16_t> listen();
+  void stop_accepting();
+  void close();
+  std::size_t open_connections() const { return connections_.size(); }
+
+  const http_server_options& options() const { return options_; }
+  bool accepting() const { return acceptor_.is_open(); }
+  void handle(http_request request, std::unique_ptr<http_exchange> exchange) {
+    if (on_request_) {
+      on_request_(std::move(request), std::move(exchange));
+    }
+  }
+  void forget(const std::shared_ptr<connection>& ended) {
+    connections_.erase(ended);
+  }
+
+ private:
+  void accept();
+
+  http_server_options options_;
+  handler on_request_;
+  asio::io_context& loop_;
+  tcp::acceptor acceptor_;
+  std::unordered_set<std::shared_ptr<connection>> connections_;
+};
+
+// One caller's connection. It keeps itself alive by the handlers under way
+// and by the server's set.
+class connection : public std::enable_shared_from_this<connection> {
+ public:
+  connection(std::weak_ptr<http_server::impl> server,
+             const http_server_options& options, tcp::socket socket)
+      : server_(std::move(server)),
+        options_(options),
+        socket_(std::move(socket)),
+        timer_(socket_.get_executor()) {
+    error_code error;
+    const auto remote = socket_.remote_endpoint(error);
+    remote_ = error ? "" : format_address(remote);
+  }
+
+  void start(bool refuse) {
+    socket_.set_option(tcp::no_delay(true), ignored_);
+    if (refuse) {
+      refuse_with(problem(503, "too many connections"));
+      return;
+    }
+    await_request();
+  }
+
+  void close() {
+    if (phase_ == phase::closed) {
+      return;
+    }
+    phase_ = phase::closed;
+    timer_.cancel();
+    socket_.close(ignored_);
+    if (auto server = server_.lock()) {
+      server->forget(shared_from_this());
+    }
+    auto handler = std::move(on_closed_);
+    on_closed_ = nullptr;
+    if (handler) {
+      handler();
+    }
+  }
+
+  void close_if_idle() {
+    if (phase_ == phase::idle) {
+      close();
+    }
+  }
+
+  // The interface that an exchange uses. `turn` names the request, so that a
+  // late call for an earlier request does nothing.
+  std::uint64_t turn() const { return turn_; }
+  bool current(std::uint64_t turn) const {
+    return turn == turn_ && phase_ == phase::answering;
+  }
+  void respond(const http_response& response);
+  void start_stream(const http_response& head);
+  void write_chunk(const std::string& data);
+  void finish_stream();
+  void set_on_closed(std::function<void()> handler) {
+    on_closed_ = std::move(handler);
+  }
+
+ private:
+  enum class phase { idle, reading, answering, closed };
+  using request_parser = http::request_parser<http::string_body>;
+
+  void await_request();
+  void read_header();
+  void read_body();
+  void dispatch();
+  void watch_caller();
+  void refuse_with(const http_response& response);
+  void on_read_error(error_code error);
+  void arm(duration limit, void (connection::*on_expiry)());
+  void read_expired() { refuse_with(problem(408, "request too slow")); }
+  void queue(std::string bytes);
+  void write_next();
+  void answered();
+
+  std::weak_ptr<http_server::impl> server_;
+  http_server_options options_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::string remote_;
+  beast::flat_buffer buffer_;
+  std::optional<request_parser> parser_;
+  phase phase_ = phase::idle;
+  std::uint64_t turn_ = 0;
+  bool keep_alive_ = true;
+  bool ending_ = false;  ///< the answer is queued whole
+  bool writing_ = false;
+  bool watching_ = false;
+  std::deque<std::string> queue_;
+  std::size_t queued_bytes_ = 0;
+  std::function<void()> on_closed_;
+  error_code ignored_;
+};
+
+namespace {
+
+class connection_exchange : public http_exchange {
+ public:
+  explicit connection_exchange(std::shared_ptr<connection> owner)
+      : owner_(std::move(owner)), turn_(owner_->turn()) {}
+  ~connection_exchange() override {
+    if (owner_->current(turn_) && !whole_) {
+      owner_->set_on_closed(nullptr);
+      owner_->close();
+    } else if (owner_->turn() == turn_) {
+      owner_->set_on_closed(nullptr);
+    }
+  }
+  connection_exchange(const connection_exchange&) = delete;
+  connection_exchange& operator=(const connection_exchange&) = delete;
+
+  void respond(const http_response& response) override {
+    whole_ = true;
+    if (owner_->current(turn_)) {
+      owner_->respond(response);
+    }
+  }
+  void start_stream(const http_response& head) override {
+    if (owner_->current(turn_)) {
+      owner_->start_stream(head);
+    }
+  }
+  void write(std::string data) override {
+    if (owner_->current(turn_) && !data.empty()) {
+      owner_->write_chunk(data);
+    }
+  }
+  void finish() override {
+    whole_ = true;
+    if (owner_->current(turn_)) {
+      owner_->finish_stream();
+    }
+  }
+  void on_closed(std::function<void()> handler) override {
+    if (owner_->current(turn_)) {
+      owner_->set_on_closed(std::move(handler));
+    }
+  }
+
+ private:
+  std::shared_ptr<connection> owner_;
+  std::uint64_t turn_;
+  bool whole_ = false;
+};
+
+}  // namespace
+
+void connection::arm(duration limit, void (connection::*on_expiry)()) {
+  timer_.expires_after(limit);
+  timer_.async_wait([weak = weak_from_this(), on_expiry](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && self->phase_ != phase::closed) {
+      (*self.*on_expiry)();
+    }
+  });
+}
+
+void connection::await_request() {
+  phase_ = phase::idle;
+  ++turn_;
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(options_.max_header_bytes));
+  parser_->body_limit(options_.max_body_bytes);
+  if (buffer_.size() > 0) {
+    read_header();
+    return;
+  }
+  arm(options_.idle_timeout, &connection::close);
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       if (error || self->phase_ != phase::idle) {
+                         self->close();
+                         return;
+                       }
+                       self->read_header();
+                     });
+}
+
+void connection::read_header() {
+  phase_ = phase::reading;
+  arm(options_.read_timeout, &connection::read_expired);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        if (error) {
+          self->on_read_error(error);
+          return;
+        }
+        self->read_body();
+      });
+}
+
+void connection::read_body() {
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        if (error) {
+          self->on_read_error(error);
+          return;
+        }
+        self->dispatch();
+      });
+}
+
+void connection::on_read_error(error_code error) {
+  if (phase_ != phase::reading) {
+    return;
+  }
+  if (error == http::error::header_limit) {
+    refuse_with(problem(431, "headers too large"));
+  } else if (error == http::error::body_limit) {
+    refuse_with(problem(413, "body too large"));
+  } else if (error.category() ==
+                 http::make_error_code(http::error::bad_version).category() &&
+             error != http::error::end_of_stream &&
+             error != http::error::partial_message) {
+    refuse_with(problem(400, "malformed request: " + error.message()));
+  } else {
+    close();
+  }
+}
+
+void connection::refuse_with(const http_response& response) {
+  phase_ = phase::answering;
+  keep_alive_ = false;
+  http_response out = response;
+  out.headers.push_back({"Retry-After", "1"});
+  respond(out);
+}
+
+void connection::dispatch() {
+  timer_.cancel();
+  phase_ = phase::answering;
+  ending_ = false;
+  const auto message = parser_->release();
+  keep_alive_ = message.keep_alive();
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.body = message.body();
+  request.remote = remote_;
+  for (const auto& field : message) {
+    request.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  watch_caller();
+  if (auto server = server_.lock()) {
+    server->handle(std::move(request),
+                   std::make_unique<connection_exchange>(shared_from_this()));
+  }
+}
+
+// Learns when the caller leaves while its answer is being made.
+void connection::watch_caller() {
+  if (watching_ || buffer_.size() > 0) {
+    return;
+  }
+  watching_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->watching_ = false;
+                       if (error || self->phase_ != phase::answering) {
+                         return;
+                       }
+                       error_code failed;
+                       if (self->socket_.available(failed) == 0 || failed) {
+                         self->close();
+                       }
+                     });
+}
+
+void connection::respond(const http_response& response) {
+  ending_ = true;
+  auto message = to_beast(response, keep_alive_);
+  message.prepare_payload();
+  std::string bytes = fmt::format("{}", fmt::streamed(message));
+  queue(std::move(bytes));
+}
+
+void connection::start_stream(const http_response& head) {
+  auto message = to_beast(head, keep_alive_);
+  message.body().clear();
+  message.chunked(true);
+  queue(fmt::format("{}", fmt::streamed(message.base())));
+}
+
+void connection::write_chunk(const std::string& data) {
+  queue(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
+}
+
+void connection::finish_stream() {
+  ending_ = true;
+  queue("0\r\n\r\n");
+}
+
+void connection::queue(std::string bytes) {
+  queued_bytes_ += bytes.size();
+  if (!ending_ && queued_bytes_ > options_.max_queued_bytes) {
+    close();
+    return;
+  }
+  queue_.push_back(std::move(bytes));
+  if (!writing_) {
+    write_next();
+  }
+}
+
+void connection::write_next() {
+  if (queue_.empty()) {
+    if (ending_) {
+      answered();
+    }
+    return;
+  }
+  writing_ = true;
+  arm(options_.write_timeout, &connection::close);
+  asio::async_write(
+      socket_, asio::buffer(queue_.front()),
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        self->writing_ = false;
+        if (self->phase_ == phase::closed) {
+          return;
+        }
+        if (error) {
+          self->close();
+          return;
+        }
+        self->timer_.cancel();
+        self->queued_bytes_ -= self->queue_.front().size();
+        self->queue_.pop_front();
+        self->write_next();
+      });
+}
+
+void connection::answered() {
+  on_closed_ = nullptr;
+  ending_ = false;
+  const auto server = server_.lock();
+  if (!keep_alive_ || !server || !server->accepting()) {
+    socket_.shutdown(tcp::socket::shutdown_send, ignored_);
+    close();
+    return;
+  }
+  if (watching_) {
+    // One wait on the socket at a time: end the watch before the next read.
+    socket_.cancel(ignored_);
+  }
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->phase_ == phase::answering) {
+      self->await_request();
+    }
+  });
+}
+
+absl::StatusOr<std::uint16_t> http_server::impl::listen() {
+  const auto address = parse_address(options_.listen);
+  if (!address.ok()) {
+    return address.status();
+  }
+  error_code error;
+  acceptor_.open(address->protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(*address, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return absl::UnavailableError(
+        fmt::format("{}: {}", options_.listen, error.message()));
+  }
+  accept();
+  return acceptor_.local_endpoint().port();
+}
+
+void http_server::impl::accept() {
+  acceptor_.async_accept([self = shared_from_this()](error_code error,
+                                                     tcp::socket socket) {
+    if (!self->acceptor_.is_open()) {
+      return;
+    }
+    if (!error) {
+      const bool full =
+          self->connections_.size() >= self->options_.max_connections;
+      auto accepted =
+          std::make_shared<connection>(self, self->options_, std::move(socket));
+      self->connections_.insert(accepted);
+      accepted->start(full);
+    }
+    self->accept();
+  });
+}
+
+void http_server::impl::stop_accepting() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  const auto open = connections_;
+  for (const auto& each : open) {
+    each->close_if_idle();
+  }
+}
+
+void http_server::impl::close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  on_request_ = nullptr;
+  const auto open = connections_;
+  for (const auto& each : open) {
+    each->close();
+  }
+}
+
+http_server::http_server(asio::io_context& loop, http_server_options options,
+                         handler on_request)
+    : impl_(std::make_shared<impl>(loop, std::move(options),
+                                   std::move(on_request))) {}
+
+http_server::~http_server() {
+  impl_->close();
+}
+
+absl::StatusOr<std::uint16_t> http_server::listen() {
+  return impl_->listen();
+}
+void http_server::stop_accepting() {
+  impl_->stop_accepting();
+}
+void http_server::close() {
+  impl_->close();
+}
+std::size_t http_server::connections() const {
+  return impl_->open_connections();
+}
+
+}  // namespace citronwharf
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -73,8 +73,9 @@
   /// Returns how many connections are open.
   std::size_t connections() const;
 
- private:
   class impl;
+
+ private:
   std::shared_ptr<impl> impl_;  // connections outlive a turn of the loop
 };
 
--- /dev/null
+++ b/src/net/peer_hub.cc
@@ -0,0 +1,578 @@
+#include "net/peer_hub.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <utility>
+#include <vector>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "net/address.h"
+#include "net/handshake.h"
+#include "observe/event.h"
+
+namespace citronwharf {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+using ws_server = websocketpp::server<websocketpp::config::asio>;
+using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr duration first_redial = milliseconds(50);
+constexpr duration longest_redial = seconds(2);
+// The library's own handlers refer to the endpoints until they have run.
+constexpr auto linger = std::chrono::milliseconds(200);
+
+// One websocket, of either direction, before and after authentication.
+struct session {
+  std::uint64_t id = 0;
+  bool dialled = false;
+  std::string dial_target;  ///< address dialled, "" when accepted
+  connection_hdl handle;
+  session_hello own;
+  session_hello peer;
+  bool hello_seen = false;
+  bool authenticated = false;
+  time_point last_heard{};
+  time_point last_sent{};
+};
+
+// An address that is dialled until forgotten.
+struct dial_target {
+  std::string name;  ///< expected process, "" until learned
+  duration wait = first_redial;
+  time_point next{};
+  std::uint64_t session = 0;  ///< under way or up, 0: none
+};
+
+}  // namespace
+
+bool operator==(const peer_id& lhs, const peer_id& rhs) {
+  return lhs.name == rhs.name && lhs.incarnation == rhs.incarnation;
+}
+bool operator!=(const peer_id& lhs, const peer_id& rhs) {
+  return !(lhs == rhs);
+}
+
+// Kept alive a moment longer than the hub, for the library's handlers.
+class peer_hub::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& loop, peer_hub_options options)
+      : loop_(loop), options_(std::move(options)), timer_(loop) {
+    prepare(server_);
+    prepare(client_);
+    server_.set_reuse_addr(true);
+  }
+
+  void start() { tick(); }
+  absl::StatusOr<std::uint16_t> listen();
+  void connect(const std::string& name, const std::string& address);
+  void forget(const std::string& name);
+  void connect_address(const std::string& address);
+  absl::Status send(const std::string& name, const frame& out);
+  std::uint64_t session_incarnation(const std::string& name) const;
+  void end_session(const std::string& name, const absl::Status& why);
+  void close();
+
+  void set_frame_handler(const std::string& type, frame_handler handler) {
+    frame_handlers_[type] = std::move(handler);
+  }
+  void add_session_handler(session_handler handler) {
+    session_handlers_.push_back(std::move(handler));
+  }
+
+ private:
+  template <typename Endpoint>
+  void prepare(Endpoint& endpoint);
+  template <typename Endpoint>
+  void attach(Endpoint& endpoint, session opened,
+              const typename Endpoint::connection_ptr& connection);
+
+  void opened(std::uint64_t id);
+  void received(std::uint64_t id, const std::string& bytes);
+  void received_hello(session& from, const frame& in);
+  void received_proof(session& from, const frame& in);
+  void authenticated(session& from);
+  void deliver(const peer_id& from, const frame& in);
+  void lost(std::uint64_t id, const std::string& why);
+  void drop(std::uint64_t id, const std::string& why);
+  void refuse(session& from, const std::string& why);
+  absl::Status write(session& to, const frame& out);
+  void dial(const std::string& address, dial_target& target);
+  void tick();
+  void tell(const peer_id& peer, bool up);
+  session* find(std::uint64_t id);
+  const session* up_session(const std::string& name) const;
+
+  asio::io_context& loop_;
+  peer_hub_options options_;
+  ws_server server_;
+  ws_client client_;
+  runtime_timer timer_;
+  bool closed_ = false;
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, session> sessions_;
+  std::map<std::string, std::uint64_t> up_;     ///< by process name
+  std::map<std::string, dial_target> targets_;  ///< by address
+  std::map<std::string, frame_handler> frame_handlers_;
+  std::vector<session_handler> session_handlers_;
+};
+
+template <typename Endpoint>
+void peer_hub::impl::prepare(Endpoint& endpoint) {
+  endpoint.clear_access_channels(websocketpp::log::alevel::all);
+  endpoint.clear_error_channels(websocketpp::log::elevel::all);
+  endpoint.init_asio(&loop_);
+  endpoint.set_max_message_size(options_.max_frame_bytes);
+  endpoint.set_open_handshake_timeout(
+      std::chrono::duration_cast<milliseconds>(options_.silence_limit).count());
+}
+
+template <typename Endpoint>
+void peer_hub::impl::attach(
+    Endpoint& endpoint, session opened_session,
+    const typename Endpoint::connection_ptr& connection) {
+  (void)endpoint;
+  const std::uint64_t id = opened_session.id;
+  opened_session.handle = connection->get_handle();
+  opened_session.last_heard = runtime_clock::now();
+  sessions_[id] = std::move(opened_session);
+  const std::weak_ptr<impl> weak = weak_from_this();
+  connection->set_open_handler([weak, id](const connection_hdl& /*handle*/) {
+    if (const auto self = weak.lock()) {
+      self->opened(id);
+    }
+  });
+  connection->set_message_handler(
+      [weak, id](const connection_hdl& /*handle*/,
+                 const typename Endpoint::message_ptr& message) {
+        if (const auto self = weak.lock()) {
+          self->received(id, message->get_payload());
+        }
+      });
+  connection->set_close_handler([weak, id](const connection_hdl& /*handle*/) {
+    if (const auto self = weak.lock()) {
+      self->lost(id, "closed");
+    }
+  });
+  connection->set_fail_handler([weak, id](const connection_hdl& /*handle*/) {
+    if (const auto self = weak.lock()) {
+      self->lost(id, "connection failed");
+    }
+  });
+}
+
+absl::StatusOr<std::uint16_t> peer_hub::impl::listen() {
+  const auto address = parse_address(options_.listen);
+  if (!address.ok()) {
+    return address.status();
+  }
+  server_.set_validate_handler([this](const connection_hdl& handle) {
+    // The hub's own sessions only; runs while the hub is open.
+    if (closed_) {
+      return false;
+    }
+    session accepted;
+    accepted.id = next_id_++;
+    attach(server_, std::move(accepted), server_.get_con_from_hdl(handle));
+    return true;
+  });
+  websocketpp::lib::error_code error;
+  server_.listen(*address, error);
+  if (!error) {
+    server_.start_accept(error);
+  }
+  if (error) {
+    return absl::UnavailableError(
+        fmt::format("{}: {}", options_.listen, error.message()));
+  }
+  error_code unbound;
+  return server_.get_local_endpoint(unbound).port();
+}
+
+void peer_hub::impl::connect(const std::string& name,
+                             const std::string& address) {
+  if (name == options_.self.name || closed_) {
+    return;
+  }
+  for (auto each = targets_.begin(); each != targets_.end();) {
+    const bool moved = each->second.name == name && each->first != address;
+    each = moved ? targets_.erase(each) : std::next(each);
+  }
+  targets_[address].name = name;
+}
+
+void peer_hub::impl::connect_address(const std::string& address) {
+  if (!closed_) {
+    targets_[address];
+  }
+}
+
+void peer_hub::impl::forget(const std::string& name) {
+  for (auto each = targets_.begin(); each != targets_.end();) {
+    each = each->second.name == name ? targets_.erase(each) : std::next(each);
+  }
+  end_session(name, absl::CancelledError("no longer wanted"));
+}
+
+void peer_hub::impl::dial(const std::string& address, dial_target& target) {
+  target.next = runtime_clock::now() + target.wait;
+  target.wait = std::min(target.wait * 2, longest_redial);
+  websocketpp::lib::error_code error;
+  const auto connection =
+      client_.get_connection(fmt::format("ws://{}/", address), error);
+  if (error) {
+    return;
+  }
+  session dialled;
+  dialled.id = next_id_++;
+  dialled.dialled = true;
+  dialled.dial_target = address;
+  target.session = dialled.id;
+  attach(client_, std::move(dialled), connection);
+  client_.connect(connection);
+}
+
+void peer_hub::impl::opened(std::uint64_t id) {
+  session* at = find(id);
+  if (at == nullptr) {
+    return;
+  }
+  at->own = session_hello{options_.self.name, options_.self.incarnation,
+                          options_.deployment, make_nonce()};
+  write(*at, make_frame(at->own)).IgnoreError();
+}
+
+void peer_hub::impl::received(std::uint64_t id, const std::string& bytes) {
+  session* at = find(id);
+  if (at == nullptr) {
+    return;
+  }
+  at->last_heard = runtime_clock::now();
+  const auto in = decode_frame(bytes);
+  if (!in.ok()) {
+    drop(id, "malformed frame: " + std::string(in.status().message()));
+    return;
+  }
+  if (at->authenticated) {
+    if (in->type != session_heartbeat::type_name) {
+      deliver(peer_id{at->peer.name, at->peer.incarnation}, *in);
+    }
+  } else if (!at->hello_seen) {
+    received_hello(*at, *in);
+  } else {
+    received_proof(*at, *in);
+  }
+}
+
+void peer_hub::impl::received_hello(session& from, const frame& in) {
+  auto hello = decode_value<session_hello>(in.body);
+  if (in.type != session_hello::type_name || !hello.ok()) {
+    refuse(from, "no hello");
+    return;
+  }
+  if (hello->deployment != options_.deployment) {
+    refuse(from, "deployment " + hello->deployment);
+    return;
+  }
+  from.peer = *std::move(hello);
+  from.hello_seen = true;
+  const auto target = targets_.find(from.dial_target);
+  if (from.peer.name == options_.self.name) {
+    // The own address among the seeds, or another process with this name.
+    if (target != targets_.end() && target->second.name.empty()) {
+      targets_.erase(target);
+    }
+    drop(from.id, "own name");
+    return;
+  }
+  if (target != targets_.end() && !target->second.name.empty() &&
+      target->second.name != from.peer.name) {
+    refuse(from, "another process answers: " + from.peer.name);
+    return;
+  }
+  write(from, make_frame(make_proof(options_.secret, from.dialled, from.own,
+                                    from.peer)))
+      .IgnoreError();
+}
+
+void peer_hub::impl::received_proof(session& from, const frame& in) {
+  const auto proof = decode_value<session_proof>(in.body);
+  const auto expected =
+      make_proof(options_.secret, !from.dialled, from.peer, from.own);
+  if (in.type != session_proof::type_name || !proof.ok() ||
+      !same_proof(*proof, expected)) {
+    refuse(from, "wrong proof");
+    return;
+  }
+  authenticated(from);
+}
+
+// One session serves a pair. Of two that were dialled from both ends at once,
+// the one dialled by the smaller name stays, on both ends alike; any other
+// second session replaces the first, which its end has given up.
+void peer_hub::impl::authenticated(session& from) {
+  const std::string name = from.peer.name;
+  const std::uint64_t id = from.id;
+  const auto standing = up_.find(name);
+  if (standing != up_.end()) {
+    const session& first = sessions_.at(standing->second);
+    const bool crossed = first.dialled != from.dialled &&
+                         first.peer.incarnation == from.peer.incarnation;
+    const bool new_by_smaller = from.dialled == (options_.self.name < name);
+    if (crossed && !new_by_smaller) {
+      drop(id, "second session");
+      return;
+    }
+    drop(standing->second, "replaced");
+  }
+  session* at = find(id);
+  if (at == nullptr) {
+    return;
+  }
+  at->authenticated = true;
+  up_[name] = id;
+  for (auto& [address, target] : targets_) {
+    if (address == at->dial_target) {
+      target.name = name;
+      target.wait = first_redial;
+    }
+  }
+  log_event(events::session_up, name, at->peer.incarnation);
+  tell(peer_id{name, at->peer.incarnation}, true);
+}
+
+void peer_hub::impl::refuse(session& from, const std::string& why) {
+  log_event(events::session_refused,
+            from.dial_target.empty() ? "accepted" : from.dial_target, why);
+  drop(from.id, why);
+}
+
+void peer_hub::impl::deliver(const peer_id& from, const frame& in) {
+  const auto handler = frame_handlers_.find(in.type);
+  if (handler == frame_handlers_.end()) {
+    log_event(events::frame_without_handler, in.type, from.name);
+    return;
+  }
+  handler->second(from, in);
+}
+
+// Closes the socket of a session and forgets it.
+void peer_hub::impl::drop(std::uint64_t id, const std::string& why) {
+  const session* at = find(id);
+  if (at == nullptr) {
+    return;
+  }
+  const connection_hdl handle = at->handle;
+  const bool dialled = at->dialled;
+  lost(id, why);
+  websocketpp::lib::error_code ignored;
+  if (dialled) {
+    client_.close(handle, websocketpp::close::status::normal, "", ignored);
+  } else {
+    server_.close(handle, websocketpp::close::status::normal, "", ignored);
+  }
+}
+
+void peer_hub::impl::lost(std::uint64_t id, const std::string& why) {
+  const auto at = sessions_.find(id);
+  if (at == sessions_.end()) {
+    return;
+  }
+  const session ended = std::move(at->second);
+  sessions_.erase(at);
+  for (auto& [address, target] : targets_) {
+    if (target.session == id) {
+      target.session = 0;
+    }
+  }
+  if (!ended.authenticated) {
+    return;
+  }
+  const auto standing = up_.find(ended.peer.name);
+  if (standing != up_.end() && standing->second == id) {
+    up_.erase(standing);
+    log_event(events::session_lost, ended.peer.name, why);
+    tell(peer_id{ended.peer.name, ended.peer.incarnation}, false);
+  }
+}
+
+void peer_hub::impl::tell(const peer_id& peer, bool up) {
+  const auto handlers = session_handlers_;
+  for (const session_handler& handler : handlers) {
+    handler(peer, up);
+  }
+}
+
+absl::Status peer_hub::impl::write(session& to, const frame& out) {
+  websocketpp::lib::error_code error;
+  const std::string bytes = encode_frame(out);
+  const auto opcode = websocketpp::frame::opcode::binary;
+  if (to.dialled) {
+    const auto connection = client_.get_con_from_hdl(to.handle, error);
+    if (!error && connection->get_buffered_amount() + bytes.size() >
+                      options_.max_queued_bytes) {
+      return absl::ResourceExhaustedError("queue to " + to.peer.name);
+    }
+    client_.send(to.handle, bytes, opcode, error);
+  } else {
+    const auto connection = server_.get_con_from_hdl(to.handle, error);
+    if (!error && connection->get_buffered_amount() + bytes.size() >
+                      options_.max_queued_bytes) {
+      return absl::ResourceExhaustedError("queue to " + to.peer.name);
+    }
+    server_.send(to.handle, bytes, opcode, error);
+  }
+  to.last_sent = runtime_clock::now();
+  return error ? absl::UnavailableError(error.message()) : absl::OkStatus();
+}
+
+absl::Status peer_hub::impl::send(const std::string& name, const frame& out) {
+  if (name == options_.self.name && !closed_) {
+    asio::post(loop_, [weak = weak_from_this(), out] {
+      const auto self = weak.lock();
+      if (self && !self->closed_) {
+        self->deliver(self->options_.self, out);
+      }
+    });
+    return absl::OkStatus();
+  }
+  const auto standing = up_.find(name);
+  if (standing == up_.end()) {
+    return absl::UnavailableError("no session to " + name);
+  }
+  return write(sessions_.at(standing->second), out);
+}
+
+std::uint64_t peer_hub::impl::session_incarnation(
+    const std::string& name) const {
+  if (name == options_.self.name) {
+    return options_.self.incarnation;
+  }
+  const session* at = up_session(name);
+  return at == nullptr ? 0 : at->peer.incarnation;
+}
+
+void peer_hub::impl::end_session(const std::string& name,
+                                 const absl::Status& why) {
+  const session* at = up_session(name);
+  if (at != nullptr) {
+    drop(at->id, std::string(why.message()));
+  }
+}
+
+session* peer_hub::impl::find(std::uint64_t id) {
+  const auto at = sessions_.find(id);
+  return at == sessions_.end() ? nullptr : &at->second;
+}
+
+const session* peer_hub::impl::up_session(const std::string& name) const {
+  const auto standing = up_.find(name);
+  return standing == up_.end() ? nullptr : &sessions_.at(standing->second);
+}
+
+// Heartbeats, silent sessions and dialling, all from one timer.
+void peer_hub::impl::tick() {
+  if (closed_) {
+    return;
+  }
+  const time_point now = runtime_clock::now();
+  std::vector<std::uint64_t> silent;
+  for (auto& [id, each] : sessions_) {
+    if (now - each.last_heard > options_.silence_limit) {
+      silent.push_back(id);
+    } else if (each.authenticated &&
+               now - each.last_sent >= options_.heartbeat) {
+      write(each, make_frame(session_heartbeat{})).IgnoreError();
+    }
+  }
+  for (const std::uint64_t id : silent) {
+    drop(id, "silent");
+  }
+  for (auto& [address, target] : targets_) {
+    const bool up = !target.name.empty() && up_.count(target.name) > 0;
+    if (target.session == 0 && !up && now >= target.next) {
+      dial(address, target);
+    }
+  }
+  timer_.expires_after(std::min<duration>(options_.heartbeat, first_redial));
+  timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->tick();
+    }
+  });
+}
+
+void peer_hub::impl::close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  timer_.cancel();
+  websocketpp::lib::error_code ignored;
+  if (server_.is_listening()) {
+    server_.stop_listening(ignored);
+  }
+  session_handlers_.clear();
+  std::vector<std::uint64_t> open;
+  for (const auto& [id, each] : sessions_) {
+    open.push_back(id);
+  }
+  for (const std::uint64_t id : open) {
+    drop(id, "process ends");
+  }
+  frame_handlers_.clear();
+  const auto keep = std::make_shared<asio::steady_timer>(loop_, linger);
+  keep->async_wait([self = shared_from_this(), keep](error_code) {});
+}
+
+peer_hub::peer_hub(asio::io_context& loop, peer_hub_options options)
+    : impl_(std::make_shared<impl>(loop, std::move(options))) {
+  impl_->start();
+}
+peer_hub::~peer_hub() {
+  impl_->close();
+}
+absl::StatusOr<std::uint16_t> peer_hub::listen() {
+  return impl_->listen();
+}
+void peer_hub::connect(const std::string& name, const std::string& address) {
+  impl_->connect(name, address);
+}
+void peer_hub::forget(const std::string& name) {
+  impl_->forget(name);
+}
+void peer_hub::connect_address(const std::string& address) {
+  impl_->connect_address(address);
+}
+absl::Status peer_hub::send(const std::string& name, const frame& out) {
+  return impl_->send(name, out);
+}
+std::uint64_t peer_hub::session_incarnation(const std::string& name) const {
+  return impl_->session_incarnation(name);
+}
+void peer_hub::on_frame(const std::string& type, frame_handler handler) {
+  impl_->set_frame_handler(type, std::move(handler));
+}
+void peer_hub::on_session(session_handler handler) {
+  impl_->add_session_handler(std::move(handler));
+}
+void peer_hub::end_session(const std::string& name, const absl::Status& why) {
+  impl_->end_session(name, why);
+}
+void peer_hub::close() {
+  impl_->close();
+}
+
+}  // namespace citronwharf
--- a/src/net/peer_hub.h
+++ b/src/net/peer_hub.h
@@ -105,7 +105,7 @@
 
  private:
   class impl;
-  std::unique_ptr<impl> impl_;
+  std::shared_ptr<impl> impl_;  // its handlers outlive the hub for a moment
 };
 
 }  // namespace citronwharf
