--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,9 +1,12 @@
 // citronwharfd: one process of the system, with the roles of its settings.
 #include <gflags/gflags.h>
 
+#include <glog/logging.h>
+
 #include <iostream>
 
 #include "base/settings.h"
+#include "daemon/process.h"
 #include "observe/event.h"
 
 DEFINE_string(settings, "", "path of the settings file");
@@ -15,6 +18,7 @@
 
 namespace {
 
+constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
 bool print_page() {
@@ -50,5 +54,12 @@
   if (FLAGS_check) {
     return 0;
   }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  const absl::Status ended = citronwharf::daemon_process(*options).run();
+  if (!ended.ok()) {
+    std::cerr << ended.message() << '\n';
+    return exit_failed;
+  }
   return 0;
 }
--- /dev/null
+++ b/test/settings-test.cc
@@ -0,0 +1,74 @@
+// Settings: every fault is told at once, with its place.
+#include "base/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace citronwharf;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+nlohmann::json good_document() {
+  return {{"process", "entry-1"},
+          {"deployment", "d"},
+          {"region", "izmir"},
+          {"failure_domain", "izmir-a"},
+          {"roles", {"entry"}},
+          {"secret_file", "secret"},
+          {"control", {{"seeds", {"127.0.0.1:7000"}}}}};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(good_settings_take_defaults) {
+  BOOST_TEST(check_settings(good_document()).empty());
+  const settings read = read_settings(good_document());
+  BOOST_TEST(read.listen.callers == "127.0.0.1:0");
+  BOOST_TEST(read.control.seeds.size() == 1U);
+  BOOST_TEST((nlohmann::json(read).get<settings>() == read));
+}
+
+BOOST_AUTO_TEST_CASE(each_fault_names_its_pointer) {
+  struct row {
+    nlohmann::json patch;
+    std::string pointer;
+  };
+  const std::vector<row> table{
+      {{{"process", "a b"}}, "/process"},
+      {{{"process", nullptr}}, ""},
+      {{{"unknown", 1}}, ""},
+      {{{"limits", {{"max_waiting", 0}}}}, "/limits/max_waiting"},
+      {{{"limits", {{"nonsense", 1}}}}, "/limits"},
+      {{{"listen", {{"peers", "localhost"}}}}, "/listen/peers"},
+      {{{"roles", {"king"}}}, "/roles/0"},
+      {{{"roles", nlohmann::json::array()}}, "/roles"},
+      {{{"trace", {{"sample", 2}}}}, "/trace/sample"},
+      {{{"control", {{"seeds", {"x"}}}}}, "/control/seeds/0"},
+      {{{"control", nullptr}}, "/control/seeds"},
+      {{{"roles", {"control"}}}, "/data_folder"},
+      {{{"roles", {"endpoint"}}}, "/engine/address"},
+  };
+  for (const row& each : table) {
+    nlohmann::json document = good_document();
+    document.merge_patch(each.patch);
+    std::set<std::string> pointers;
+    for (const settings_fault& fault : check_settings(document)) {
+      pointers.insert(fault.pointer);
+    }
+    BOOST_TEST(pointers.count(each.pointer) == 1U, each.patch.dump());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(all_faults_come_at_once) {
+  nlohmann::json document = good_document();
+  document["process"] = "a b";
+  document["limits"] = {{"max_waiting", 0}, {"idle_timeout_ms", "x"}};
+  std::set<std::string> pointers;
+  for (const settings_fault& fault : check_settings(document)) {
+    pointers.insert(fault.pointer);
+  }
+  for (const char* pointer :
+       {"/process", "/limits/max_waiting", "/limits/idle_timeout_ms"}) {
+    BOOST_TEST(pointers.count(pointer) == 1U, pointer);
+  }
+}
