--- /dev/null
+++ b/test/reservation-book-test.cc
@@ -0,0 +1,116 @@
+// Promises of decode memory.
+#include "policy/reservation_book.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace citronwharf;
+
+namespace {
+
+attempt_key key(std::uint64_t request) {
+  return {"entry-1", 1, request, 1};
+}
+
+const time_point start_time(seconds(100));
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(each_policy_promises_what_it_says) {
+  struct row {
+    promise_policy policy;
+    duration ready_in;
+    bool granted;
+  };
+  const std::vector<row> table = {
+      {promise_policy::none, milliseconds(0), true},
+      {promise_policy::free_now, milliseconds(500), false},
+      {promise_policy::ahead, milliseconds(99), false},
+      {promise_policy::ahead, milliseconds(100), true},
+  };
+  for (const row& each : table) {
+    reservation_options options;
+    options.pieces_total = 4;
+    options.policy = each.policy;
+    reservation_book book(options);
+    const auto release = start_time + milliseconds(100);
+    BOOST_TEST(book.start(key(1), 3, release, start_time));
+    const auto answer = book.reserve(key(2), 2, each.ready_in, start_time);
+    BOOST_TEST(answer.granted == each.granted);
+    if (!answer.granted) BOOST_TEST(answer.retry_after.count() > 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(promised_memory_is_not_promised_again) {
+  reservation_options options;
+  options.pieces_total = 2;
+  reservation_book book(options);
+  const auto now = start_time;
+  BOOST_TEST(book.reserve(key(1), 2, seconds(1), now).granted);
+  BOOST_TEST(book.reserve(key(1), 2, seconds(1), now).granted);
+  BOOST_TEST(!book.reserve(key(2), 1, seconds(9), now).granted);
+  BOOST_TEST(!book.start(key(3), 1, now, now));
+  BOOST_TEST(book.start(key(1), 2, now + seconds(1), now));
+  BOOST_TEST(book.promised() == 0);
+  BOOST_TEST(book.release(key(1)));
+  BOOST_TEST(!book.release(key(1)));
+  BOOST_TEST(book.free() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(batch_size_bounds_what_runs) {
+  reservation_options options;
+  options.max_running = 1;
+  reservation_book book(options);
+  const auto release = start_time + seconds(1);
+  BOOST_TEST(book.start(key(1), 1, release, start_time));
+  BOOST_TEST(!book.start(key(2), 1, release, start_time));
+  BOOST_TEST(!book.reserve(key(2), 1, milliseconds(9), start_time).granted);
+  BOOST_TEST(book.reserve(key(2), 1, seconds(1), start_time).granted);
+}
+
+BOOST_AUTO_TEST_CASE(books_balance_over_seeds) {
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    std::mt19937_64 random(seed);
+    reservation_options options;
+    options.policy = static_cast<promise_policy>(random() % 3);
+    options.pieces_total = std::int32_t(1 + random() % 20);
+    reservation_book book(options);
+    time_point now = start_time;
+    for (int step = 0; step < 200; ++step) {
+      now += milliseconds(random() % 400);
+      const attempt_key each = key(random() % 30);
+      const auto pieces = std::int32_t(1 + random() % 3);
+      switch (random() % 4) {
+        case 0:
+          book.reserve(each, pieces, milliseconds(random() % 900), now);
+          break;
+        case 1:
+          book.start(each, pieces, now + milliseconds(random() % 900), now);
+          break;
+        case 2:
+          book.release(each);
+          break;
+        default:
+          book.expire(now);
+      }
+      BOOST_REQUIRE_MESSAGE(book.held() <= options.pieces_total,
+                            "seed " << seed);
+      BOOST_REQUIRE(book.held() >= 0);
+      BOOST_REQUIRE(book.promised() >= 0);
+      BOOST_REQUIRE(book.running() <= options.max_running);
+    }
+    for (std::uint64_t each = 0; each < 30; ++each) book.release(key(each));
+    BOOST_REQUIRE_MESSAGE(book.free() == options.pieces_total, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(promises_end_with_their_lease) {
+  reservation_options options;
+  options.pieces_total = 1;
+  options.lease = seconds(1);
+  reservation_book book(options);
+  BOOST_TEST(book.reserve(key(1), 1, seconds(1), start_time).granted);
+  BOOST_TEST(book.expire(start_time + milliseconds(1999)).empty());
+  BOOST_TEST(book.expire(start_time + milliseconds(2000)).size() == 1U);
+  BOOST_TEST(book.free() == 1);
+}
