--- /dev/null
+++ b/src/control/check_document.cc
@@ -0,0 +1,227 @@
+// The form of configuration documents, checked by the table of members.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+#include <utility>
+
+#include "control/document_fields.h"
+#include "control/validate.h"
+
+namespace citronwharf {
+namespace {
+
+using detail::document_member;
+using detail::member_type;
+using nlohmann::json;
+
+using faults = std::vector<configuration_fault>;
+
+constexpr std::size_t longest_name = 64;
+constexpr std::size_t digest_digits = 64;
+constexpr int most_port = 65535;
+constexpr int most_octet = 255;
+
+bool is_text(const std::string& text) {
+  const auto allowed = [](unsigned char letter) {
+    return letter < 128 && (std::isalnum(letter) != 0 || letter == '_' ||
+                            letter == '.' || letter == '-');
+  };
+  return text.size() <= longest_name &&
+         std::all_of(text.begin(), text.end(), allowed);
+}
+
+bool is_digest(const std::string& text) {
+  const auto hex = [](unsigned char letter) {
+    return std::isdigit(letter) != 0 || (letter >= 'a' && letter <= 'f');
+  };
+  return text.size() == digest_digits &&
+         std::all_of(text.begin(), text.end(), hex);
+}
+
+// Reads digits up to `stop` as a number of at most `most`.
+bool take_number(const std::string& text, std::size_t& at, char stop,
+                 int most) {
+  int value = 0;
+  const std::size_t begin = at;
+  while (at < text.size() &&
+         std::isdigit(static_cast<unsigned char>(text[at])) != 0 &&
+         value <= most) {
+    value = value * 10 + (text[at] - '0');
+    ++at;
+  }
+  const bool stopped =
+      stop == '\0' ? at == text.size() : at < text.size() && text[at] == stop;
+  const bool good = at > begin && value <= most && stopped;
+  ++at;
+  return good;
+}
+
+bool is_address(const std::string& text) {
+  std::size_t at = 0;
+  for (const char stop : {'.', '.', '.', ':'}) {
+    if (!take_number(text, at, stop, most_octet)) {
+      return false;
+    }
+  }
+  return take_number(text, at, '\0', most_port);
+}
+
+bool is_method(const json& value) {
+  static const std::set<std::string> methods{"DELETE", "GET",  "HEAD",
+                                             "PATCH",  "POST", "PUT"};
+  return value.is_string() && methods.count(value.get<std::string>()) != 0;
+}
+
+// Returns what the value has to be, or "" when it is that.
+std::string wrong_text(const document_member& member, const json& value) {
+  if (!value.is_string()) {
+    return "has to be a string";
+  }
+  const auto text = value.get<std::string>();
+  switch (member.type) {
+    case member_type::name:
+      return is_text(text) && !text.empty()
+                 ? ""
+                 : "has to be 1 to 64 letters, digits or _ . -";
+    case member_type::text:
+      return is_text(text) ? "" : "has to be up to 64 letters, digits or _ . -";
+    case member_type::address:
+      return is_address(text) ? "" : "has to be ip:port";
+    case member_type::digest:
+      return is_digest(text) ? "" : "has to be a SHA-256 in lower-case hex";
+    default:
+      break;
+  }
+  const bool known = std::find(member.choices.begin(), member.choices.end(),
+                               text) != member.choices.end();
+  return known ? ""
+               : fmt::format("has to be one of {}",
+                             fmt::join(member.choices, ", "));
+}
+
+std::string wrong_value(const document_member& member, const json& value) {
+  switch (member.type) {
+    case member_type::boolean:
+      return value.is_boolean() ? "" : "has to be true or false";
+    case member_type::methods:
+      return value.is_array() &&
+                     std::all_of(value.begin(), value.end(), is_method)
+                 ? ""
+                 : "has to be a list of HTTP methods";
+    case member_type::integer:
+    case member_type::number:
+      break;
+    default:
+      return wrong_text(member, value);
+  }
+  if (member.type == member_type::integer && !value.is_number_integer()) {
+    return "has to be an integer";
+  }
+  if (!value.is_number()) {
+    return "has to be a number";
+  }
+  const double number = value.get<double>();
+  return number >= member.least && number <= member.most
+             ? ""
+             : fmt::format("has to be from {} to {}", member.least,
+                           member.most);
+}
+
+void check_members(const std::vector<document_member>& members,
+                   const json& item, const std::string& pointer, faults& out) {
+  if (!item.is_object()) {
+    out.push_back({pointer, "has to be an object"});
+    return;
+  }
+  for (const auto& [name, value] : item.items()) {
+    const std::string place = pointer + "/" + name;
+    const auto member = std::find_if(
+        members.begin(), members.end(),
+        [&key = name](const document_member& in) { return in.name == key; });
+    if (member == members.end()) {
+      out.push_back({place, "unknown name"});
+      continue;
+    }
+    if (member->type == member_type::allowance) {
+      check_members(detail::allowance_members(), value, place, out);
+      continue;
+    }
+    std::string wrong = wrong_value(*member, value);
+    if (!wrong.empty()) {
+      out.push_back({place, std::move(wrong)});
+    }
+  }
+}
+
+void check_items(const std::string& list, const json& items, faults& out) {
+  if (!items.is_array()) {
+    out.push_back({"/" + list, "has to be a list"});
+    return;
+  }
+  const std::string name = name_member(list);
+  std::set<std::string> seen;
+  for (std::size_t index = 0; index < items.size(); ++index) {
+    const json& item = items[index];
+    const std::string pointer = fmt::format("/{}/{}", list, index);
+    check_members(detail::list_members().at(list), item, pointer, out);
+    if (!item.is_object()) {
+      continue;
+    }
+    if (!item.contains(name)) {
+      out.push_back({pointer, fmt::format("needs {}", name)});
+    } else if (item.at(name).is_string() &&
+               !seen.insert(item.at(name).get<std::string>()).second) {
+      out.push_back({pointer + "/" + name, "is given twice"});
+    }
+  }
+}
+
+void check_removals(const json& removed, faults& out) {
+  if (!removed.is_object()) {
+    out.push_back({"/remove", "has to be an object"});
+    return;
+  }
+  for (const auto& [list, names] : removed.items()) {
+    const std::string pointer = "/remove/" + list;
+    if (detail::list_members().count(list) == 0) {
+      out.push_back({pointer, "unknown name"});
+    } else if (!names.is_array()) {
+      out.push_back({pointer, "has to be a list"});
+    } else {
+      for (std::size_t index = 0; index < names.size(); ++index) {
+        if (!names[index].is_string()) {
+          out.push_back(
+              {fmt::format("{}/{}", pointer, index), "has to be a string"});
+        }
+      }
+    }
+  }
+}
+
+}  // namespace
+
+faults check_document(const json& document, document_mode mode) {
+  faults out;
+  if (!document.is_object()) {
+    out.push_back({"", "has to be an object"});
+    return out;
+  }
+  for (const auto& [name, value] : document.items()) {
+    if (name == "version") {
+      if (!value.is_number_unsigned()) {
+        out.push_back({"/version", "has to be an integer of at least 0"});
+      }
+    } else if (name == "remove" && mode == document_mode::partial) {
+      check_removals(value, out);
+    } else if (detail::list_members().count(name) != 0) {
+      check_items(name, value, out);
+    } else {
+      out.push_back({"/" + name, "unknown name"});
+    }
+  }
+  return out;
+}
+
+}  // namespace citronwharf
