--- a/src/control/configuration_machine.cc
+++ b/src/control/configuration_machine.cc
@@ -95,9 +95,10 @@
   return result;
 }
 
-change_result configuration_machine::plan(
+change_preview configuration_machine::preview(
     const configuration_command& command) const {
-  return make_plan(command).result;
+  outcome_of_plan plan = make_plan(command);
+  return {std::move(plan.result), std::move(plan.delta)};
 }
 
 change_result configuration_machine::conflict_with(std::uint64_t base) const {
--- a/src/control/configuration_machine.h
+++ b/src/control/configuration_machine.h
@@ -71,6 +71,13 @@
 CITRONWHARF_VALUE(change_result, outcome, version, winner_version,
                   winner_operation, winner_author, faults)
 
+/// What a command would do.
+struct change_preview {
+  change_result result;
+  nlohmann::json changes;
+};
+CITRONWHARF_VALUE(change_preview, result, changes)
+
 /// One accepted change.
 struct change_record {
   std::uint64_t version = 0;
@@ -110,8 +117,9 @@
   std::optional<std::vector<nlohmann::json>> changes_since(
       std::uint64_t version) const;
 
-  /// Returns what the command would answer now, without doing it.
-  change_result plan(const configuration_command& command) const;
+  /// Returns what the command would answer now and the partial document of
+  /// its changes, without doing it.
+  change_preview preview(const configuration_command& command) const;
 
  private:
   struct outcome_of_plan {
--- /dev/null
+++ b/src/control/configuration_source.cc
@@ -0,0 +1,124 @@
+#include "control/configuration_source.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronwharf {
+namespace {
+
+constexpr std::size_t snapshot_part_bytes = 512U << 10U;
+// More deltas than this travel as a snapshot.
+constexpr std::size_t most_changes_sent = 200;
+
+}  // namespace
+
+std::vector<control_member> to_control_members(
+    const std::vector<replica_member>& members) {
+  std::vector<control_member> out;
+  out.reserve(members.size());
+  for (const replica_member& in : members) {
+    out.push_back({in.id, in.process, in.address, in.voter});
+  }
+  return out;
+}
+
+configuration_source::configuration_source(process_context& process,
+                                           replica& log,
+                                           const configuration_machine& machine)
+    : process_(process), log_(log), machine_(machine) {
+  process_.peers.on<config_poll>(
+      [this](const peer_id& from, const config_poll& poll) {
+        answer_poll(from, poll);
+      });
+  process_.peers.on<config_fetch>(
+      [this](const peer_id& from, const config_fetch& fetch) {
+        answer_fetch(from, fetch);
+      });
+  process_.peers.on_session([this](const peer_id& peer, bool up) {
+    if (!up) {
+      sessions_.erase(peer.name);
+      return;
+    }
+    sessions_.insert(peer.name);
+    // A peer that is gone again learns it on its next session.
+    process_.peers.send(peer.name, make_frame(control_hello{members_}))
+        .IgnoreError();
+  });
+  log_.subscribe([this] { greet_all(); });
+}
+
+void configuration_source::greet_all() {
+  auto members = to_control_members(log_.status().members);
+  if (members == members_) {
+    return;
+  }
+  members_ = std::move(members);
+  for (const std::string& peer : sessions_) {
+    process_.peers.send(peer, make_frame(control_hello{members_}))
+        .IgnoreError();
+  }
+}
+
+void configuration_source::answer_poll(const peer_id& from,
+                                       const config_poll& poll) {
+  polled_at_[from.name] = runtime_clock::now();
+  const replica_status status = log_.status();
+  config_poll_reply reply;
+  reply.id = poll.id;
+  reply.replica = status.id;
+  reply.applied_version = machine_.current().version;
+  reply.newest_version =
+      reply.applied_version + log_.unapplied(configuration_command::kind);
+  reply.members = to_control_members(status.members);
+  // A lost reply is polled for again.
+  process_.peers.send(from.name, make_frame(reply)).IgnoreError();
+}
+
+void configuration_source::answer_fetch(const peer_id& from,
+                                        const config_fetch& fetch) {
+  auto changes = machine_.changes_since(fetch.version);
+  if (!changes || changes->size() > most_changes_sent) {
+    send_snapshot(from.name);
+    return;
+  }
+  if (!changes->empty()) {
+    process_.peers
+        .send(from.name,
+              make_frame(config_changes{fetch.version, std::move(*changes)}))
+        .IgnoreError();
+  }
+}
+
+void configuration_source::send_snapshot(const std::string& to) {
+  const configuration& current = machine_.current();
+  if (text_version_ != current.version) {
+    text_ = nlohmann::json(current).dump();
+    text_version_ = current.version;
+  }
+  const std::size_t parts =
+      (text_.size() + snapshot_part_bytes - 1) / snapshot_part_bytes;
+  for (std::size_t part = 0; part < parts; ++part) {
+    const absl::Status sent = process_.peers.send(
+        to,
+        make_frame(config_snapshot_part{
+            current.version, static_cast<std::uint32_t>(part),
+            static_cast<std::uint32_t>(parts),
+            text_.substr(part * snapshot_part_bytes, snapshot_part_bytes)}));
+    if (!sent.ok()) {
+      return;  // the process fetches again
+    }
+  }
+}
+
+std::set<std::string> configuration_source::polled_within(
+    duration span, time_point now) const {
+  std::set<std::string> names;
+  for (const auto& [name, at] : polled_at_) {
+    if (at + span > now) {
+      names.insert(name);
+    }
+  }
+  return names;
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/control/configuration_source.h
@@ -0,0 +1,49 @@
+/// A control replica's side of the distribution: answers polls and sends
+/// deltas or snapshots.
+#ifndef CITRONWHARF_CONTROL_CONFIGURATION_SOURCE_H_
+#define CITRONWHARF_CONTROL_CONFIGURATION_SOURCE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/process_context.h"
+#include "control/configuration_machine.h"
+#include "control/replica.h"
+#include "wire/control_messages.h"
+
+namespace citronwharf {
+
+/// Loop's thread only. Preconditions: process, log and machine outlive it.
+class configuration_source {
+ public:
+  configuration_source(process_context& process, replica& log,
+                       const configuration_machine& machine);
+
+  /// Returns the processes that polled within the last `span`.
+  std::set<std::string> polled_within(duration span, time_point now) const;
+
+ private:
+  void answer_poll(const peer_id& from, const config_poll& poll);
+  void answer_fetch(const peer_id& from, const config_fetch& fetch);
+  void send_snapshot(const std::string& to);
+  void greet_all();
+
+  process_context& process_;
+  replica& log_;
+  const configuration_machine& machine_;
+  std::set<std::string> sessions_;
+  std::vector<control_member> members_;
+  std::map<std::string, time_point> polled_at_;
+  std::uint64_t text_version_ = 0;  // of text_
+  std::string text_;                // the configuration as JSON
+};
+
+/// Returns the members as other processes learn them. Thread-safe.
+std::vector<control_member> to_control_members(
+    const std::vector<replica_member>& members);
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_CONTROL_CONFIGURATION_SOURCE_H_
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -92,6 +92,14 @@
   virtual absl::Status take_snapshot() = 0;
 
   virtual replica_status status() const = 0;
+  /// Returns how many commands of this kind stand in the synced log after the
+  /// applied ones, committed or not. At most that many more changes can this
+  /// log lead to. The default counts commands of every kind, which is safe but
+  /// makes a busy log look as if changes were always under way.
+  virtual std::uint64_t unapplied(const std::string& /*kind*/) const {
+    const replica_status now = status();
+    return now.last_index - now.applied_index;
+  }
   /// Calls `on_change` after entries were synced, committed or applied, and
   /// when leader or members change. For the life of the replica.
   virtual void subscribe(std::function<void()> on_change) = 0;
