--- a/src/tool/admin_client.cc
+++ b/src/tool/admin_client.cc
@@ -46,11 +46,19 @@
   http_call_options options;
   options.address = address;
   options.idle_timeout = idle_timeout;
-  const auto response = fetch_blocking(options, request);
+  boost::asio::io_context loop;
+  absl::StatusOr<http_response> response = absl::UnknownError("no answer");
+  bool sent = false;
+  const auto call =
+      fetch(loop, std::move(options), request,
+            [&](absl::StatusOr<http_response> answer, bool any_byte_sent) {
+              response = std::move(answer);
+              sent = any_byte_sent;
+            });
+  loop.run();
   if (!response.ok()) {
-    const bool refused = absl::IsUnavailable(response.status());
-    return {refused ? 0 : unknown_outcome,
-            {{"error", refused ? "unreachable" : "unknown_outcome"},
+    return {sent ? unknown_outcome : 0,
+            {{"error", sent ? "unknown_outcome" : "unreachable"},
              {"message", std::string(response.status().message())}}};
   }
   const auto parsed = parse_json(response->body);
