--- /dev/null
+++ b/src/endpoint/endpoint_role.cc
@@ -0,0 +1,354 @@
+#include "endpoint/endpoint_role.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "endpoint/decode_door.h"
+#include "endpoint/engine_watch.h"
+#include "endpoint/plain_door.h"
+#include "endpoint/platform_list.h"
+#include "endpoint/prefill_door.h"
+#include "endpoint/reservation_desk.h"
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr duration busy_tick = milliseconds(10);
+constexpr duration idle_tick = milliseconds(100);
+constexpr duration platform_poll = milliseconds(500);
+
+door_options make_options(const settings& from) {
+  door_options options;
+  options.queue.max_items = static_cast<std::size_t>(from.limits.max_waiting);
+  options.queue.max_items_per_organisation =
+      static_cast<std::size_t>(from.limits.max_waiting_per_organisation);
+  return options;
+}
+
+class endpoint_process final : public process_role {
+ public:
+  explicit endpoint_process(process_context& process)
+      : process_(process),
+        engine_(process.loop, process.options.engine.address),
+        held_(held_work_options{}),
+        parts_{process.loop,
+               process.incarnation,
+               engine_,
+               info_,
+               held_,
+               leaving_,
+               rates_,
+               process.metrics,
+               process.traces,
+               make_options(process.options),
+               [this](const std::string& entry, const frame& out) {
+                 return process_.peers.send(entry, out);
+               }},
+        desk_(parts_),
+        prefill_(parts_),
+        decode_(parts_, desk_),
+        plain_(parts_, process.options.engine.address),
+        watch_(process.loop, engine_, watch_handlers()),
+        timer_(process.loop) {}
+
+  absl::Status start() override;
+  void drain(std::function<void()> done) override;
+  bool ready() const override { return !leaving_.leaving(); }
+
+ private:
+  engine_watch_handlers watch_handlers();
+  void take_work();
+  void take_control();
+  template <typename Message, typename Take>
+  void on_work(Take take);
+  bool owns(const peer_id& from, const attempt_key& key);
+  void session(const peer_id& peer, bool up);
+  void configured(const configuration& next);
+  void adopt(const engine_info& info, const std::vector<engine_held>& held);
+  void drop(const attempt_key& key);
+  void leave(leaving_source source, bool leaves);
+  void read_platform(time_point now);
+  void say_hello(const std::string& entry);
+  void say_hello_to_all();
+  void tick();
+  void schedule_tick();
+  bool idle() const;
+  void set_gauges();
+  std::array<door*, 3> doors() { return {&prefill_, &decode_, &plain_}; }
+  const door& main_door() const;
+
+  process_context& process_;
+  engine_client engine_;
+  engine_info info_;
+  held_work held_;
+  leaving_state leaving_;
+  load_report rates_;
+  door_parts parts_;
+  reservation_desk desk_;
+  prefill_door prefill_;
+  decode_door decode_;
+  plain_door plain_;
+  engine_watch watch_;
+  runtime_timer timer_;
+  endpoint_role role_ = endpoint_role::plain;
+  bool watching_ = false;
+  platform_source platform_;
+  time_point platform_read_{};
+  std::int64_t wasted_tokens_ = 0;
+  std::function<void()> drained_;
+};
+
+engine_watch_handlers endpoint_process::watch_handlers() {
+  engine_watch_handlers handlers;
+  handlers.on_found = [this](const engine_info& info, const auto& held) {
+    adopt(info, held);
+  };
+  handlers.on_changed = [this](const engine_info& info) {
+    if (info.incarnation != info_.incarnation) {
+      log_event(events::engine_restarted, engine_.address());
+    }
+    info_ = info;
+    desk_.set_memory(info);
+  };
+  handlers.on_load = [this](const engine_load& load) {
+    const auto more = load.wasted_tokens - wasted_tokens_;
+    wasted_tokens_ = load.wasted_tokens;
+    process_.metrics.add("citronwharf_endpoint_wasted_prefill_tokens_total", {},
+                         static_cast<double>(std::max<std::int64_t>(0, more)));
+  };
+  return handlers;
+}
+
+absl::Status endpoint_process::start() {
+  if (process_.options.engine.address.empty()) {
+    return absl::InvalidArgumentError("/engine/address is needed");
+  }
+  if (!process_.options.engine.platform_list.empty()) {
+    platform_ = platform_file(process_.options.engine.platform_list);
+  }
+  take_work();
+  take_control();
+  process_.peers.on_session(
+      [this](const peer_id& peer, bool up) { session(peer, up); });
+  process_.view.subscribe(
+      [this](const configuration& next) { configured(next); });
+  configured(*process_.view.current());
+  schedule_tick();
+  return absl::OkStatus();
+}
+
+bool endpoint_process::owns(const peer_id& from, const attempt_key& key) {
+  const bool own =
+      key.entry == from.name && key.incarnation == from.incarnation;
+  if (!own) {
+    log_event(events::foreign_key, from.name, to_string(key));
+  }
+  return own;
+}
+
+template <typename Message, typename Take>
+void endpoint_process::on_work(Take take) {
+  process_.peers.on<Message>(
+      [this, take](const peer_id& from, const Message& message) {
+        if (owns(from, message.header.key)) {
+          take(message);
+        }
+      });
+}
+
+void endpoint_process::take_work() {
+  on_work<reserve_request>([this](const auto& m) { desk_.take(m); });
+  on_work<prefill_request>([this](const auto& m) { prefill_.take(m); });
+  on_work<decode_request>([this](const auto& m) { decode_.take(m); });
+  on_work<plain_request>([this](const auto& m) { plain_.take(m); });
+}
+
+void endpoint_process::take_control() {
+  process_.peers.on<resume_request>(
+      [this](const peer_id& from, const resume_request& message) {
+        if (owns(from, message.key)) {
+          decode_.resume(message);
+        }
+      });
+  process_.peers.on<cancel_request>(
+      [this](const peer_id& from, const cancel_request& message) {
+        if (owns(from, message.key)) {
+          drop(message.key);
+        }
+      });
+  process_.peers.on<holder_claims>([this](const peer_id& from,
+                                          const holder_claims& claims) {
+    if (from.name == claims.entry && from.incarnation == claims.incarnation) {
+      held_.claim(claims, runtime_clock::now());
+      decode_.claimed(claims);
+    }
+  });
+}
+
+void endpoint_process::session(const peer_id& peer, bool up) {
+  const auto gone =
+      held_.session(peer.name, peer.incarnation, up, runtime_clock::now());
+  for (const attempt_key& key : gone) {
+    drop(key);
+  }
+  if (up) {
+    say_hello(peer.name);
+    return;
+  }
+  for (door* each : doors()) {
+    each->session_lost(peer.name);
+  }
+}
+
+void endpoint_process::configured(const configuration& next) {
+  const auto own = std::find_if(
+      next.endpoints.begin(), next.endpoints.end(),
+      [this](const auto& one) { return one.name == process_.options.process; });
+  if (own == next.endpoints.end()) {
+    return;
+  }
+  role_ = own->role;
+  leave(leaving_source::configuration, own->draining);
+  if (role_ != endpoint_role::plain && !watching_) {
+    watching_ = true;
+    watch_.start();
+  }
+  say_hello_to_all();
+}
+
+void endpoint_process::adopt(const engine_info& info,
+                             const std::vector<engine_held>& held) {
+  const time_point now = runtime_clock::now();
+  info_ = info;
+  desk_.set_memory(info);
+  for (const engine_held& one : held) {
+    const auto key = parse_attempt_key(one.id);
+    if (!key) {
+      engine_.cancel(one.id);
+      continue;
+    }
+    held_.adopt(*key, now);
+    desk_.adopt(*key, one.pieces, now);
+  }
+  log_event(events::engine_found, engine_.address(), held.size());
+  say_hello_to_all();
+}
+
+void endpoint_process::drop(const attempt_key& key) {
+  if (desk_.holds(key)) {
+    engine_.cancel(to_string(key), [this, key] { desk_.release(key); });
+  }
+  for (door* each : doors()) {
+    each->drop(key);
+  }
+  held_.end(key, runtime_clock::now());
+}
+
+void endpoint_process::leave(leaving_source source, bool leaves) {
+  if (leaving_.set(source, leaves)) {
+    log_event(events::leaving_changed, leaving_.leaving() ? "leaves" : "stays",
+              to_string(source));
+    say_hello_to_all();
+  }
+}
+
+void endpoint_process::read_platform(time_point now) {
+  if (!platform_ || now - platform_read_ < platform_poll) {
+    return;
+  }
+  platform_read_ = now;
+  const auto list = platform_();
+  if (list.ok()) {
+    leave(leaving_source::platform_list,
+          leaves(*list, process_.options.process));
+  }
+}
+
+const door& endpoint_process::main_door() const {
+  switch (role_) {
+    case endpoint_role::prefill:
+      return prefill_;
+    case endpoint_role::decode:
+      return decode_;
+    case endpoint_role::plain:
+      break;
+  }
+  return plain_;
+}
+
+void endpoint_process::say_hello(const std::string& entry) {
+  const auto current = process_.view.current();
+  const bool known =
+      std::any_of(current->entries.begin(), current->entries.end(),
+                  [&](const entry_member& one) { return one.name == entry; });
+  if (!known || process_.peers.session_incarnation(entry) == 0) {
+    return;
+  }
+  endpoint_hello hello;
+  hello.endpoint = process_.options.process;
+  main_door().add_load(hello.load);
+  process_.peers.send(entry, make_frame(hello)).IgnoreError();
+}
+
+void endpoint_process::say_hello_to_all() {
+  const auto current = process_.view.current();
+  for (const entry_member& entry : current->entries) {
+    say_hello(entry.name);
+  }
+}
+
+bool endpoint_process::idle() const {
+  return prefill_.idle() && decode_.idle() && plain_.idle();
+}
+
+void endpoint_process::schedule_tick() {
+  timer_.expires_after(idle() ? idle_tick : busy_tick);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void endpoint_process::tick() {
+  const time_point now = runtime_clock::now();
+  for (const attempt_key& key : held_.sweep(now)) {
+    log_event(events::lease_ended, to_string(key));
+    drop(key);
+  }
+  for (door* each : doors()) {
+    each->tick(now);
+  }
+  read_platform(now);
+  set_gauges();
+  if (drained_ && idle()) {
+    const auto done = std::exchange(drained_, nullptr);
+    done();
+  }
+  schedule_tick();
+}
+
+void endpoint_process::set_gauges() {
+  endpoint_load load;
+  main_door().add_load(load);
+  metric_registry& metrics = process_.metrics;
+  metrics.set("citronwharf_endpoint_pieces_held", {}, desk_.pieces_held());
+  metrics.set("citronwharf_endpoint_pieces_free", {}, load.pieces_free);
+  metrics.set("citronwharf_endpoint_waiting", {}, load.waiting);
+  metrics.set("citronwharf_endpoint_running", {}, load.running);
+}
+
+void endpoint_process::drain(std::function<void()> done) {
+  drained_ = std::move(done);
+  leave(leaving_source::signal, true);
+}
+
+}  // namespace
+
+std::unique_ptr<process_role> make_endpoint_role(process_context& process) {
+  return std::make_unique<endpoint_process>(process);
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/endpoint/reservation_desk.cc
@@ -0,0 +1,215 @@
+#include "endpoint/reservation_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronwharf {
+namespace {
+
+/// Predicted for work of before this process started.
+constexpr duration adopted_run = seconds(5);
+
+}  // namespace
+
+reservation_desk::reservation_desk(door_parts& parts)
+    : parts_(parts), queue_(parts.options.queue) {}
+
+void reservation_desk::set_memory(const engine_info& info) {
+  if (book_ && options_.pieces_total == info.pieces_total) {
+    return;
+  }
+  options_.pieces_total = info.pieces_total;
+  options_.max_running = info.max_batch;
+  book_.emplace(options_);
+}
+
+void reservation_desk::take(const reserve_request& request) {
+  const attempt_key& key = request.header.key;
+  if (waiting_.count(key) > 0) {
+    return;  // a repeat gets the answer of the one that waits
+  }
+  const failure_reason reason = admit(request);
+  if (reason != failure_reason::none) {
+    refuse(key, reason, parts_.options.engine_stall);
+    return;
+  }
+  const std::int32_t pieces =
+      pieces_for(parts_.info, request.prompt_tokens + request.max_tokens);
+  enqueue(request, pieces);
+  pump();
+  const auto still = waiting_.find(key);
+  if (still == waiting_.end()) {
+    return;
+  }
+  const duration left = from_microseconds(request.header.deadline_us);
+  if (next_release_ > left) {
+    remove(key);
+    refuse(key, failure_reason::no_memory, next_release_);
+  }
+}
+
+failure_reason reservation_desk::admit(const reserve_request& request) {
+  const failure_reason checked = check_work(parts_, request.header);
+  if (checked != failure_reason::none) {
+    return checked;
+  }
+  if (!book_) {
+    return failure_reason::engine_refused;
+  }
+  const std::int32_t pieces =
+      pieces_for(parts_.info, request.prompt_tokens + request.max_tokens);
+  if (pieces > parts_.info.pieces_total) {
+    return failure_reason::too_large;
+  }
+  if (queue_.size() >= parts_.options.queue.max_items ||
+      queue_.size_of(request.header.organisation) >=
+          parts_.options.queue.max_items_per_organisation) {
+    return failure_reason::queue_full;
+  }
+  return parts_.held.hold(request.header.key, runtime_clock::now());
+}
+
+void reservation_desk::enqueue(const reserve_request& request,
+                               std::int32_t pieces) {
+  const work_header& header = request.header;
+  const time_point now = runtime_clock::now();
+  waiting_request& one = waiting_[header.key];
+  one.request = request;
+  one.pieces = pieces;
+  one.arrived = now;
+  one.queue_id = ++last_queue_id_;
+  one.hop = parts_.traces.start_remote("reservation", header.traceparent);
+  by_queue_id_[one.queue_id] = header.key;
+  const absl::Status pushed = queue_.push(
+      {one.queue_id, header.organisation, header.weight,
+       class_of(header.service),
+       static_cast<double>(request.prompt_tokens + request.max_tokens),
+       now + from_microseconds(header.deadline_us)});
+  if (!pushed.ok()) {
+    const attempt_key key = header.key;
+    remove(key);
+    refuse(key, failure_reason::queue_full, next_release_);
+  }
+}
+
+void reservation_desk::pump() {
+  if (!book_) {
+    return;
+  }
+  const time_point now = runtime_clock::now();
+  for (auto next = queue_.peek(); next; next = queue_.peek()) {
+    const attempt_key key = by_queue_id_.at(next->id);
+    const waiting_request& one = waiting_.at(key);
+    const reservation_decision decision = book_->reserve(
+        key, one.pieces, from_microseconds(one.request.ready_in_us), now);
+    if (!decision.granted) {
+      next_release_ = decision.retry_after;
+      return;
+    }
+    queue_.pop();
+    const std::int32_t pieces = one.pieces;
+    by_queue_id_.erase(next->id);
+    waiting_.erase(key);
+    promise(key, pieces, decision);
+  }
+}
+
+void reservation_desk::promise(const attempt_key& key, std::int32_t pieces,
+                               const reservation_decision& decision) {
+  reserve_reply reply;
+  reply.key = key;
+  reply.pieces = pieces;
+  reply.available_in_us = to_microseconds(decision.available_in);
+  reply.lease_us = to_microseconds(options_.lease);
+  send(std::move(reply));
+}
+
+bool reservation_desk::start(const attempt_key& key, std::int32_t pieces,
+                             time_point predicted_release, time_point now) {
+  return book_ && book_->start(key, pieces, predicted_release, now);
+}
+
+void reservation_desk::adopt(const attempt_key& key, std::int32_t pieces,
+                             time_point now) {
+  adopted_.insert(key);
+  start(key, pieces, now + adopted_run, now);
+}
+
+void reservation_desk::release(const attempt_key& key) {
+  adopted_.erase(key);
+  if (book_ && book_->release(key)) {
+    pump();
+  }
+}
+
+void reservation_desk::remove(const attempt_key& key) {
+  const auto found = waiting_.find(key);
+  queue_.erase(found->second.queue_id);
+  by_queue_id_.erase(found->second.queue_id);
+  waiting_.erase(found);
+  parts_.held.forget(key);
+}
+
+void reservation_desk::drop(const attempt_key& key) {
+  if (waiting_.count(key) > 0) {
+    remove(key);
+    pump();
+  }
+}
+
+void reservation_desk::tick(time_point now) {
+  for (const queue_item& late : queue_.expire(now)) {
+    const attempt_key key = by_queue_id_.at(late.id);
+    remove(key);
+    refuse(key, failure_reason::deadline, next_release_);
+  }
+  if (!book_) {
+    return;
+  }
+  for (const attempt_key& key : book_->expire(now)) {
+    parts_.held.forget(key);
+  }
+  pump();
+}
+
+void reservation_desk::refuse(const attempt_key& key, failure_reason reason,
+                              duration retry_after) {
+  count_refusal(parts_, reason);
+  reserve_reply reply;
+  reply.key = key;
+  reply.reason = reason;
+  reply.retry_after_us = to_microseconds(retry_after);
+  send(std::move(reply));
+}
+
+void reservation_desk::send(reserve_reply reply) {
+  add_load(reply.load);
+  const attempt_key key = reply.key;
+  const bool promised = reply.reason == failure_reason::none;
+  if (!parts_.send(key.entry, make_frame(reply)).ok() && promised) {
+    // Nobody knows of the promise. The queue is served by the next tick.
+    book_->release(key);
+    parts_.held.forget(key);
+  }
+}
+
+bool reservation_desk::idle() const {
+  return waiting_.empty() && (!book_ || book_->promised() == 0);
+}
+
+void reservation_desk::add_load(endpoint_load& load) const {
+  load.incarnation = parts_.incarnation;
+  load.leaving = parts_.leaving.leaving();
+  load.pieces_total = parts_.info.pieces_total;
+  load.piece_tokens = parts_.info.piece_tokens;
+  load.pieces_free = book_ ? book_->free() : 0;
+  load.running = book_ ? book_->running() : 0;
+  load.waiting = static_cast<std::int32_t>(waiting_.size());
+  load.queue_delay_us = waiting_.empty() ? 0 : to_microseconds(next_release_);
+  load.token_interval_us = to_microseconds(parts_.rates.token_interval());
+  const double interval =
+      std::max(1.0, static_cast<double>(load.token_interval_us));
+  load.tokens_per_second = std::max(1, load.running) * 1e6 / interval;
+}
+
+}  // namespace citronwharf
