Entry: filters, lives of requests, driver; thin path, compiled only

The entry role reads, authenticates, routes, allows, places, relays and answers; request_life and plain_life decide without I/O.

--- /dev/null
+++ b/src/entry/answer.cc
@@ -0,0 +1,118 @@
+#include "entry/answer.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "entry/read.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr int unauthorized = 401;
+
+// Engines' texts may break UTF-8 within a token; that never throws.
+std::string print(const nlohmann::json& in) {
+  return in.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+nlohmann::json problem_document(const std::string& request_id,
+                                const problem& why) {
+  return {{"type", "urn:citronwharf:problem:" + why.reason},
+          {"title", why.reason},
+          {"status", why.status},
+          {"detail", why.detail},
+          {"outcome", to_string(why.outcome)},
+          {"request_id", request_id}};
+}
+
+std::vector<header_field> own_fields(const std::string& request_id,
+                                     request_outcome outcome,
+                                     const char* content_type) {
+  return {{"Content-Type", content_type},
+          {"X-Request-Id", request_id},
+          {"X-Outcome", to_string(outcome)}};
+}
+
+std::string event(const char* name, const nlohmann::json& data) {
+  return std::string("event: ") + name + "\ndata: " + print(data) + "\n\n";
+}
+
+std::string whole_seconds(duration span) {
+  const auto rounded = std::chrono::ceil<seconds>(span).count();
+  return std::to_string(std::max<std::int64_t>(rounded, 1));
+}
+
+}  // namespace
+
+http_response problem_response(const std::string& request_id,
+                               const problem& why) {
+  http_response out;
+  out.status = why.status;
+  out.headers = own_fields(request_id, why.outcome, "application/problem+json");
+  if (why.retry_after > duration{}) {
+    out.headers.push_back({"Retry-After", whole_seconds(why.retry_after)});
+  }
+  if (why.status == unauthorized) {
+    out.headers.push_back({"WWW-Authenticate", "Bearer"});
+  }
+  out.body = print(problem_document(request_id, why));
+  return out;
+}
+
+http_response whole_response(const std::string& request_id,
+                             const std::string& text, std::int32_t tokens) {
+  http_response out;
+  out.headers =
+      own_fields(request_id, request_outcome::done, "application/json");
+  out.body = print({{"text", text}, {"tokens", tokens}, {"outcome", "done"}});
+  return out;
+}
+
+http_response plain_response(const std::string& request_id, int status,
+                             const std::vector<header_field>& headers,
+                             std::string body) {
+  http_response out;
+  out.status = status;
+  for (const header_field& field : end_to_end_headers(headers)) {
+    if (count_header({field}, "X-Request-Id") == 0 &&
+        count_header({field}, "X-Outcome") == 0) {
+      out.headers.push_back(field);
+    }
+  }
+  out.headers.push_back({"X-Request-Id", request_id});
+  out.headers.push_back({"X-Outcome", to_string(request_outcome::done)});
+  out.body = std::move(body);
+  return out;
+}
+
+http_response stream_head(const std::string& request_id) {
+  http_response out;
+  out.headers =
+      own_fields(request_id, request_outcome::unknown, "text/event-stream");
+  out.headers.push_back({"Cache-Control", "no-store"});
+  return out;
+}
+
+std::string tokens_event(std::int32_t offset,
+                         const std::vector<std::string>& tokens) {
+  return event("tokens", {{"offset", offset}, {"tokens", tokens}});
+}
+
+std::string end_event(const std::string& request_id, std::int32_t tokens) {
+  return event(
+      "end",
+      {{"outcome", "done"}, {"tokens", tokens}, {"request_id", request_id}});
+}
+
+std::string error_event(const std::string& request_id, const problem& why,
+                        std::int32_t tokens) {
+  nlohmann::json document = problem_document(request_id, why);
+  document["tokens"] = tokens;
+  if (why.retry_after > duration{}) {
+    document["retry_after"] = whole_seconds(why.retry_after);
+  }
+  return event("error", document);
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/entry/life_actions.cc
@@ -0,0 +1,25 @@
+#include "entry/life_actions.h"
+
+namespace citronwharf {
+namespace {
+
+struct key_reader {
+  template <typename Work>
+  const attempt_key& operator()(const Work& work) const {
+    return work.header.key;
+  }
+  const attempt_key& operator()(const resume_request& in) const {
+    return in.key;
+  }
+  const attempt_key& operator()(const cancel_request& in) const {
+    return in.key;
+  }
+};
+
+}  // namespace
+
+const attempt_key& key_of(const endpoint_message& message) {
+  return std::visit(key_reader{}, message);
+}
+
+}  // namespace citronwharf
