--- a/src/entry/request_life.cc
+++ b/src/entry/request_life.cc
@@ -292,8 +292,9 @@
   if (reply.reason == failure_reason::none) {
     take_end(reply, now);
   } else {
-    retry_after_ = from_microseconds(reply.retry_after_us);
-    decode_failed(blames_endpoint(reply.reason), reply.ran, now);
+    // After a broken session "not run" may only mean "not known any more".
+    const bool ran = reply.ran || resumes_ > 0;
+    decode_failed(blames_endpoint(reply.reason), ran, now);
   }
   return take_actions();
 }
--- /dev/null
+++ b/test/life_world.cc
@@ -0,0 +1,492 @@
+#include "life_world.h"
+
+#include <fmt/format.h>
+
+#include "fake/tokens.h"
+
+namespace citronwharf::test {
+namespace {
+
+constexpr duration hop = milliseconds(1);
+constexpr duration late_by = milliseconds(70);
+constexpr duration prefill_time = milliseconds(40);
+constexpr duration token_time = milliseconds(20);
+constexpr duration export_life = milliseconds(900);
+constexpr duration lease = seconds(3);
+constexpr duration back_soon = milliseconds(300);
+constexpr duration back_late = seconds(4);
+const std::vector<std::string> kind_names{
+    "drop",   "twice", "late",   "crossed", "cut",      "cut_long",   "restart",
+    "refuse", "fail",  "freeze", "leave",   "withdraw", "wrong_count"};
+
+const char* type_of(const endpoint_message& in) {
+  return std::visit(
+      [](const auto& one) { return std::decay_t<decltype(one)>::type_name; },
+      in);
+}
+
+}  // namespace
+
+const std::vector<fault_kind> all_faults{
+    fault_kind::drop,       fault_kind::twice,  fault_kind::late,
+    fault_kind::crossed,    fault_kind::cut,    fault_kind::cut_long,
+    fault_kind::restart,    fault_kind::refuse, fault_kind::fail,
+    fault_kind::freeze,     fault_kind::leave,  fault_kind::withdraw,
+    fault_kind::wrong_count};
+
+const std::string life_world::prompt = "Norwegian salmon, whole, fresh";
+
+std::string describe(const std::vector<fault>& faults) {
+  std::string out;
+  for (const fault& one : faults) {
+    out += fmt::format("{}#{}:{} ", one.type, one.nth,
+                       kind_names[static_cast<std::size_t>(one.kind)]);
+  }
+  return out;
+}
+
+life_world::life_world(std::vector<fault> faults, bool idempotent,
+                       std::uint64_t seed)
+    : faults_(std::move(faults)),
+      idempotent_(idempotent),
+      random_(seed),
+      deadline_(now_ + seconds(30)) {}
+
+void life_world::at(duration in, step what) {
+  steps_.emplace(std::make_pair(now_ + in, ++order_), std::move(what));
+}
+
+life_hooks life_world::hooks() {
+  life_hooks out;
+  out.choose = [this](const placement_query& query, std::size_t, time_point) {
+    std::vector<placement_choice> all;
+    for (const auto& [name, one] : nodes_) {
+      const bool excluded =
+          std::count(query.excluded.begin(), query.excluded.end(), name) > 0;
+      if (one.up && !excluded && name.rfind(query.pool, 0) == 0) {
+        all.push_back({name, {}, prefill_time});
+      }
+    }
+    std::shuffle(all.begin(), all.end(), random_);
+    return all;
+  };
+  out.retry_after = [](const std::string&, time_point) { return seconds(1); };
+  out.incarnation = [this](const std::string& name) {
+    return nodes_[name].up ? nodes_[name].incarnation : 0;
+  };
+  out.permitted = [this](time_point) -> std::optional<problem> {
+    if (!withdrawn_) {
+      return std::nullopt;
+    }
+    return problem{
+        401, request_outcome::not_run, reasons::key_withdrawn, "", {}, false};
+  };
+  out.take_retry = [] { return true; };
+  return out;
+}
+
+bool life_world::finished() const {
+  return pools_ ? pools_->finished() : plain_->finished();
+}
+
+std::vector<held_work> life_world::held() const {
+  return pools_ ? pools_->held() : plain_->held();
+}
+
+run_report life_world::run_pools() {
+  pools_work work;
+  work.key = {"entry-1", 7, 1, 0};
+  work.prefill_pool = "prefill";
+  work.decode_pool = "decode";
+  work.prompt = prompt;
+  work.prompt_tokens = 8;
+  work.max_tokens = max_tokens;
+  work.deadline = deadline_;
+  work.idempotent = idempotent_;
+  for (const char* name : {"prefill-1", "prefill-2", "decode-1", "decode-2"}) {
+    nodes_[name] = node{};
+  }
+  pools_.emplace(work, request_life_options{}, hooks());
+  return run([this] { return pools_->start(now_); });
+}
+
+run_report life_world::run_plain() {
+  plain_work work;
+  work.key = {"entry-1", 7, 1, 0};
+  work.pool = "plain";
+  work.method = "POST";
+  work.deadline = deadline_;
+  work.idempotent = idempotent_;
+  nodes_["plain-1"] = node{};
+  nodes_["plain-2"] = node{};
+  plain_.emplace(work, plain_life_options{}, hooks());
+  return run([this] { return plain_->start(now_); });
+}
+
+run_report life_world::run(const std::function<life_actions()>& start) {
+  for (int second = 1; second < 40; ++second) {
+    at(seconds(second), [this] { claim_and_sweep(); });
+  }
+  perform(start());
+  while (!steps_.empty()) {
+    const time_point wake = pools_ ? pools_->wake() : plain_->wake();
+    if (wake < steps_.begin()->first.first) {
+      now_ = std::max(now_, wake);
+      perform(pools_ ? pools_->on_timer(now_) : plain_->on_timer(now_));
+      continue;
+    }
+    const auto next = steps_.begin();
+    now_ = next->first.first;
+    const step what = next->second;
+    steps_.erase(next);
+    what();
+  }
+  for (const auto& [name, one] : nodes_) {
+    report_.leaked += one.frozen ? 0 : static_cast<int>(one.held.size());
+  }
+  return report_;
+}
+
+void life_world::perform(const life_actions& actions) {
+  for (const life_action& action : actions) {
+    if (const auto* out = std::get_if<send_action>(&action)) {
+      send(*out);
+    } else if (const auto* next = std::get_if<relay_action>(&action)) {
+      report_.after_finish |= report_.finishes > 0;
+      report_.relayed.insert(report_.relayed.end(), next->tokens.begin(),
+                             next->tokens.end());
+    } else if (const auto* plain = std::get_if<plain_answer_action>(&action)) {
+      report_.after_finish |= report_.finishes > 0 || report_.answer;
+      report_.answer = *plain;
+    } else if (const auto* last = std::get_if<finish_action>(&action)) {
+      ++report_.finishes;
+      report_.why = last->why;
+      report_.total = last->total_tokens;
+      report_.ended_at = now_;
+    }
+  }
+}
+
+bool life_world::strike(const std::string& type, const std::string& name,
+                        fault_kind& out) {
+  const int nth = counts_[type]++;
+  for (const fault& one : faults_) {
+    if (one.type != type || one.nth != nth) {
+      continue;
+    }
+    report_.trace += describe({one}) + "at " + name + "; ";
+    out = one.kind;
+    if (one.kind == fault_kind::leave) {
+      caller_leaves();
+    } else if (one.kind == fault_kind::withdraw) {
+      at({}, [this] {
+        withdrawn_ = true;
+        if (pools_) {
+          perform(pools_->on_configuration(now_));
+        }
+      });
+    } else if (one.kind == fault_kind::freeze) {
+      nodes_[name].frozen = true;
+      at(seconds(2), [this, name] { session_lost(name, seconds(60), false); });
+    } else if (one.kind == fault_kind::cut ||
+               one.kind == fault_kind::cut_long ||
+               one.kind == fault_kind::restart) {
+      const bool soon = one.kind != fault_kind::cut_long;
+      session_lost(name, soon ? back_soon : back_late,
+                   one.kind == fault_kind::restart);
+    }
+    return true;
+  }
+  return false;
+}
+
+void life_world::caller_leaves() {
+  at({}, [this] {
+    perform(pools_ ? pools_->on_cancel(now_) : plain_->on_cancel(now_));
+  });
+}
+
+life_actions life_world::session_event(const std::string& name,
+                                       std::uint64_t up) {
+  return pools_ ? pools_->on_session(name, up, now_)
+                : plain_->on_session(name, up, now_);
+}
+
+void life_world::session_lost(const std::string& name, duration back,
+                              bool restart) {
+  node& one = nodes_[name];
+  if (!one.up) {
+    return;
+  }
+  one.up = false;
+  ++one.epoch;
+  if (restart) {
+    one =
+        node{one.incarnation + 1, false, false, one.epoch, {}, {}, {}, {}, {}};
+  }
+  at({}, [this, name] { perform(session_event(name, 0)); });
+  at(back, [this, name] {
+    nodes_[name].up = true;
+    perform(session_event(name, nodes_[name].incarnation));
+  });
+}
+
+void life_world::send(const send_action& out) {
+  const std::string type = type_of(out.message);
+  if (!nodes_[out.endpoint].up) {
+    if (type != "cancel") {
+      const attempt_key key = key_of(out.message);
+      at({}, [this, to = out.endpoint, key] {
+        perform(pools_ ? pools_->on_send_failed(to, key, now_)
+                       : plain_->on_send_failed(to, key, now_));
+      });
+    }
+    return;
+  }
+  const bool runnable = type == "prefill" || type == "plain";
+  report_.sent_after_withdrawal += withdrawn_ && runnable ? 1 : 0;
+  const int epoch = nodes_[out.endpoint].epoch;
+  fault_kind kind{};
+  const bool struck = strike(type, out.endpoint, kind);
+  const bool lost =
+      struck && (kind == fault_kind::drop || kind == fault_kind::restart);
+  const bool twice = struck && kind == fault_kind::twice;
+  const auto arrive = [this, to = out.endpoint, message = out.message, epoch,
+                       struck, kind] {
+    if (nodes_[to].epoch == epoch && !nodes_[to].frozen) {
+      serve(to, message, struck ? std::optional(kind) : std::nullopt);
+    }
+  };
+  if (!lost) {
+    at(hop + (struck && kind == fault_kind::late ? late_by : duration{}),
+       arrive);
+  }
+  if (twice) {
+    at(hop + late_by, arrive);
+  }
+}
+
+template <typename Message>
+void life_world::to_entry(const std::string& from, Message message,
+                          duration in) {
+  const int epoch = nodes_[from].epoch;
+  at(in, [this, from, message, epoch]() mutable {
+    node& one = nodes_[from];
+    if (one.epoch != epoch || !one.up || one.frozen) {
+      return;
+    }
+    fault_kind kind{};
+    const bool struck = strike(Message::type_name, from, kind);
+    const auto arrive = [this, from](const Message& got) {
+      if constexpr (std::is_same_v<Message, plain_reply>) {
+        perform(plain_->on_reply(from, got, now_));
+      } else {
+        perform(pools_->on_reply(from, got, now_));
+      }
+    };
+    if (struck && (kind == fault_kind::drop || one.epoch != epoch)) {
+      return;
+    }
+    if (struck && kind == fault_kind::crossed) {
+      message.key.attempt += 10;
+    }
+    if constexpr (std::is_same_v<Message, decode_finished>) {
+      message.total_tokens += struck && kind == fault_kind::wrong_count ? 3 : 0;
+    }
+    const bool late = struck && kind == fault_kind::late;
+    if (!late) {
+      arrive(message);
+    }
+    if (late || (struck && kind == fault_kind::twice)) {
+      at(late_by, [arrive, message] { arrive(message); });
+    }
+  });
+}
+
+void life_world::serve(const std::string& name, const endpoint_message& in,
+                       std::optional<fault_kind> struck) {
+  if (const auto* one = std::get_if<reserve_request>(&in)) {
+    serve_reserve(name, *one, struck);
+  } else if (const auto* run = std::get_if<prefill_request>(&in)) {
+    serve_prefill(name, *run, struck);
+  } else if (const auto* decode = std::get_if<decode_request>(&in)) {
+    serve_decode(name, *decode, struck);
+  } else if (const auto* again = std::get_if<resume_request>(&in)) {
+    serve_resume(name, *again);
+  } else if (const auto* plain = std::get_if<plain_request>(&in)) {
+    serve_plain(name, *plain, struck);
+  } else {
+    const attempt_key& key = key_of(in);
+    nodes_[name].held.erase(key);
+    nodes_[name].streams.erase(key);
+    exports_.erase(name + to_string(key));
+  }
+}
+
+void life_world::serve_reserve(const std::string& name,
+                               const reserve_request& in,
+                               std::optional<fault_kind> struck) {
+  reserve_reply out;
+  out.key = in.header.key;
+  if (struck == fault_kind::refuse || struck == fault_kind::fail) {
+    out.reason = failure_reason::no_memory;
+  } else {
+    nodes_[name].held[out.key] = now_;
+  }
+  to_entry(name, out, hop);
+}
+
+void life_world::serve_prefill(const std::string& name,
+                               const prefill_request& in,
+                               std::optional<fault_kind> struck) {
+  prefill_reply out;
+  out.key = in.header.key;
+  if (struck == fault_kind::refuse) {
+    out.reason = failure_reason::leaving;
+    to_entry(name, out, hop);
+    return;
+  }
+  if (!nodes_[name].seen.insert(out.key).second) {
+    out.reason = failure_reason::duplicate;
+    to_entry(name, out, hop);
+    return;
+  }
+  ++report_.prefills_run;
+  out.ran = true;
+  if (struck == fault_kind::fail) {
+    out.reason = failure_reason::engine_lost;
+    to_entry(name, out, prefill_time);
+    return;
+  }
+  nodes_[name].held[out.key] = now_;
+  out.export_id = name + to_string(out.key);
+  out.expires_in_us = to_microseconds(export_life);
+  exports_[out.export_id] = now_ + prefill_time + export_life;
+  to_entry(name, out, prefill_time);
+}
+
+void life_world::serve_decode(const std::string& name, const decode_request& in,
+                              std::optional<fault_kind> struck) {
+  node& one = nodes_[name];
+  decode_finished out;
+  out.key = in.header.key;
+  const auto found = exports_.find(in.export_id);
+  if (!one.seen.insert(out.key).second) {
+    out.reason = failure_reason::duplicate;
+  } else if (struck == fault_kind::refuse) {
+    out.reason = failure_reason::transfer_failed;
+  } else if (found == exports_.end() || found->second <= now_) {
+    out.reason = failure_reason::export_expired;
+  }
+  if (out.reason != failure_reason::none) {
+    to_entry(name, out, hop);
+    return;
+  }
+  ++report_.generations;
+  one.held[out.key] = now_;
+  one.streams[out.key] = in.offset;
+  one.first[out.key] = in.offset;
+  if (struck == fault_kind::fail) {
+    at(3 * token_time + hop, [this, name, out]() mutable {
+      nodes_[name].streams.erase(out.key);
+      nodes_[name].held.erase(out.key);
+      out.reason = failure_reason::engine_lost;
+      out.ran = true;
+      to_entry(name, out, hop);
+    });
+  }
+  at(token_time, [this, name, key = out.key] { generate(name, key); });
+}
+
+void life_world::generate(const std::string& name, attempt_key key) {
+  node& one = nodes_[name];
+  const auto stream = one.streams.find(key);
+  if (stream == one.streams.end()) {
+    return;
+  }
+  if (stream->second < max_tokens) {
+    const std::int32_t index = stream->second++;
+    to_entry(name,
+             tokens_message{key, index, {fake::fake_token(prompt, index)}},
+             hop);
+    at(token_time, [this, name, key] { generate(name, key); });
+    return;
+  }
+  one.held.erase(key);
+  one.over.insert(key);
+  decode_finished out;
+  out.key = key;
+  out.ran = true;
+  out.total_tokens = max_tokens;
+  to_entry(name, out, hop);
+}
+
+void life_world::serve_resume(const std::string& name,
+                              const resume_request& in) {
+  node& one = nodes_[name];
+  decode_finished out;
+  out.key = in.key;
+  const auto stream = one.streams.find(in.key);
+  if (stream == one.streams.end()) {
+    out.reason = failure_reason::engine_lost;
+    to_entry(name, out, hop);
+    return;
+  }
+  tokens_message again{in.key, in.offset, {}};
+  for (std::int32_t index = in.offset; index < stream->second; ++index) {
+    again.tokens.push_back(fake::fake_token(prompt, index));
+  }
+  to_entry(name, again, hop);
+  if (one.over.count(in.key) > 0) {
+    out.ran = true;
+    out.total_tokens = max_tokens;
+    to_entry(name, out, hop);
+  }
+}
+
+void life_world::serve_plain(const std::string& name, const plain_request& in,
+                             std::optional<fault_kind> struck) {
+  plain_reply out;
+  out.key = in.header.key;
+  if (!nodes_[name].seen.insert(out.key).second) {
+    out.reason = failure_reason::duplicate;
+  } else if (struck == fault_kind::refuse) {
+    out.reason = failure_reason::leaving;
+  } else {
+    ++report_.generations;
+    out.ran = true;
+    out.status = 200;
+    out.body = "posted";
+    if (struck == fault_kind::fail) {
+      out.reason = failure_reason::engine_lost;
+    }
+  }
+  to_entry(name, out, prefill_time);
+}
+
+// The entry's claims of each second, and the endpoints' leases.
+void life_world::claim_and_sweep() {
+  const std::vector<held_work> wanted = held();
+  for (auto& [name, one] : nodes_) {
+    for (auto it = one.held.begin(); it != one.held.end();) {
+      const bool claimed =
+          one.up && std::any_of(wanted.begin(), wanted.end(),
+                                [&, key = it->first](const held_work& work) {
+                                  return work.key == key;
+                                });
+      if (claimed) {
+        it->second = now_;
+      }
+      if (now_ - it->second < lease) {
+        ++it;
+        continue;
+      }
+      const bool in_use = !finished() && one.up && one.streams.count(it->first);
+      report_.swept_in_use += in_use ? 1 : 0;
+      one.streams.erase(it->first);
+      it = one.held.erase(it);
+    }
+  }
+}
+
+}  // namespace citronwharf::test
--- /dev/null
+++ b/test/plain-life-test.cc
@@ -0,0 +1,102 @@
+// The promises of a plain call's life under every fault at every frame.
+#include "entry/plain_life.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "entry/retry_budget.h"
+#include "life_world.h"
+
+using namespace citronwharf;        // NOLINT(google-build-using-namespace)
+using namespace citronwharf::test;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+std::string broken_promises(const run_report& in, bool idempotent) {
+  std::string out;
+  if (in.finishes != 1 || in.after_finish) {
+    out += "not exactly one final answer; ";
+  }
+  if (in.answer.has_value() == in.why.has_value()) {
+    out += "neither a whole answer nor a problem; ";
+  }
+  const bool not_run = in.why && in.why->outcome == request_outcome::not_run;
+  if (not_run && in.generations > 0) {
+    out += "said not-run though it ran; ";
+  }
+  if (!idempotent && in.generations > 1) {
+    out += "ran twice; ";
+  }
+  if (in.sent_after_withdrawal > 0) {
+    out += "sent for a withdrawn key; ";
+  }
+  return out;
+}
+
+void check(const std::vector<fault>& faults, bool idempotent,
+           std::uint64_t seed) {
+  const run_report report = life_world(faults, idempotent, seed).run_plain();
+  const std::string broken = broken_promises(report, idempotent);
+  BOOST_TEST(broken.empty(), describe(faults)
+                                 << " idempotent " << idempotent << " seed "
+                                 << seed << ": " << broken << report.trace);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(faults_alone_and_together) {
+  std::vector<fault> singles;
+  for (const char* frame : {"plain", "plain_reply", "cancel"}) {
+    for (const fault_kind kind : all_faults) {
+      for (const int nth : {0, 1}) {
+        singles.push_back({frame, nth, kind});
+      }
+    }
+  }
+  for (const fault& one : singles) {
+    check({one}, true, 1);
+    check({one}, false, 1);
+  }
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937_64 random(seed);
+    check({singles[random() % singles.size()],
+           singles[random() % singles.size()]},
+          seed % 2 == 0, seed);
+  }
+}
+
+// What each fault must lead to, for calls that may not be repeated.
+BOOST_AUTO_TEST_CASE(outcomes_of_calls_that_may_not_be_repeated) {
+  struct row {
+    fault one;
+    const char* outcome;
+    int runs;
+  };
+  const std::vector<row> table{
+      {{"plain", 9, fault_kind::drop}, "done", 1},
+      {{"plain", 0, fault_kind::refuse}, "done", 1},
+      {{"plain", 0, fault_kind::drop}, "unknown", 0},
+      {{"plain", 0, fault_kind::cut}, "unknown", 0},
+      {{"plain", 0, fault_kind::restart}, "unknown", 0},
+      {{"plain", 0, fault_kind::fail}, "unknown", 1},
+      {{"plain", 0, fault_kind::twice}, "done", 1},
+      {{"plain_reply", 0, fault_kind::cut}, "unknown", 1},
+      {{"plain_reply", 0, fault_kind::crossed}, "unknown", 1},
+      {{"plain_reply", 0, fault_kind::twice}, "done", 1}};
+  for (const row& in : table) {
+    const run_report report = life_world({in.one}, false, 1).run_plain();
+    const char* got = report.why ? to_string(report.why->outcome) : "done";
+    BOOST_TEST(std::string(got) == in.outcome, describe({in.one}) << got);
+    BOOST_TEST(report.generations == in.runs, describe({in.one}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(retries_are_a_share_of_fresh_work) {
+  retry_budget budget({0.2, 2});
+  int taken = 0;
+  for (int request = 0; request < 1000; ++request) {
+    budget.fresh();
+    taken += budget.take() ? 1 : 0;
+  }
+  BOOST_TEST(taken <= 202);
+  BOOST_TEST(taken >= 199);
+}
