--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
--- a/src/tool/main.cc
+++ b/src/tool/main.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "tool/trace_view.h"
 #include "tool/verbs.h"
 
 DEFINE_string(admin, "127.0.0.1:7003",
@@ -56,12 +57,33 @@
   return options;
 }
 
+// citronwharf trace FILE [TRACE_ID] needs no control replica.
+int draw_trace_file(const std::vector<std::string>& words) {
+  if (words.size() < 2) {
+    std::cerr << "trace needs a FILE\n";
+    return static_cast<int>(exit_code::usage);
+  }
+  std::ifstream file(words[1]);
+  const std::string trace_id = words.size() > 2 ? words[2] : "";
+  const auto drawn = citronwharf::tool::draw_trace(file, trace_id);
+  if (!drawn.ok()) {
+    std::cerr << drawn.status().message() << '\n';
+    return static_cast<int>(exit_code::usage);
+  }
+  std::cout << *drawn;
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(citronwharf::tool::verbs_help());
   gflags::SetVersionString(CITRONWHARF_VERSION);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  if (!words.empty() && words[0] == "trace") {
+    return draw_trace_file(words);
+  }
   const std::string token = read_token(FLAGS_token_file);
   if (token.empty()) {
     std::cerr << "needs --token_file with the operators' token\n";
@@ -74,9 +96,8 @@
     std::cerr << "needs --admin with an address\n";
     return static_cast<int>(exit_code::usage);
   }
-  const auto result = citronwharf::tool::run_verb(
-      client, options_of_flags(),
-      std::vector<std::string>(argv + 1, argv + argc));
+  const auto result =
+      citronwharf::tool::run_verb(client, options_of_flags(), words);
   std::cout << result.output;
   std::cerr << result.errors;
   return static_cast<int>(result.code);
