--- a/src/tool/verbs.cc
+++ b/src/tool/verbs.cc
@@ -280,6 +280,7 @@
   for (const verb& each : verbs()) {
     out += "  " + each.usage + "\n";
   }
+  out += "  trace FILE [TRACE_ID]\n";
   return out;
 }
 
