Configuration machine's test restarts into a fresh machine

The check 'history is restored' stayed green without the guard, since the same machine was restored; with a fresh one it fails in of_two_under_equal_numbers_one_wins.

--- a/test/configuration_machine-test.cc
+++ b/test/configuration_machine-test.cc
@@ -3,6 +3,7 @@
 #include "control/configuration_machine.h"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 
 #include "configuration-samples.h"
 
@@ -19,19 +20,21 @@
 // A machine that holds good_document() as version 1.
 struct sample_machine {
   sample_machine() {
-    machine.apply(1, apply_command("op-1", 0, good_document()));
+    machine->apply(1, apply_command("op-1", 0, good_document()));
   }
 
   change_result run(const json& command) {
-    return result_of(machine.apply(++index, command));
+    return result_of(machine->apply(++index, command));
   }
   // A copy by snapshot, as after a change of leader or a restart.
   void restart() {
-    const json state = json::parse(machine.snapshot().dump());
-    machine.restore(state);
+    const json state = json::parse(machine->snapshot().dump());
+    machine = std::make_unique<configuration_machine>();
+    machine->restore(state);
   }
 
-  configuration_machine machine;
+  std::unique_ptr<configuration_machine> machine =
+      std::make_unique<configuration_machine>();
   std::uint64_t index = 1;
 };
 
@@ -75,7 +78,7 @@
     BOOST_TEST(loser.winner_version == 2U);
     BOOST_TEST(loser.winner_operation == "win");
     BOOST_TEST(loser.winner_author == "author of win");
-    BOOST_TEST(sample.machine.current().organisations[0].weight == 5);
+    BOOST_TEST(sample.machine->current().organisations[0].weight == 5);
   }
 }
 
@@ -104,14 +107,14 @@
         BOOST_TEST((first.outcome == each.first));
         sample.run(
             apply_command("between", first.version, weight_document(9), true));
-        const std::uint64_t version = sample.machine.current().version;
+        const std::uint64_t version = sample.machine->current().version;
         if (restarted) {
           sample.restart();
         }
         json resent = each.command;
         resent["at_ms"] = 99;
         BOOST_TEST((sample.run(resent) == first));
-        BOOST_TEST(sample.machine.current().version == version);
+        BOOST_TEST(sample.machine->current().version == version);
         // The identifier belongs to that command alone.
         resent["document"] = weight_document(4);
         BOOST_TEST(
@@ -129,7 +132,7 @@
        ++n) {
     sample.run(apply_command("op" + std::to_string(n), 0, json::object()));
   }
-  BOOST_TEST(sample.machine.snapshot().at("operations").size() ==
+  BOOST_TEST(sample.machine->snapshot().at("operations").size() ==
              configuration_machine::remembered_operations);
   // Forgotten, the resend conflicts: it is not run a second time.
   const change_result resent = sample.run(first);
@@ -151,13 +154,13 @@
     const change_result result = sample.run(fixed);
     BOOST_TEST((result.outcome == change_outcome::unchanged));
     BOOST_TEST(result.version == 1U);
-    BOOST_TEST(sample.machine.history().size() == 1U);
+    BOOST_TEST(sample.machine->history().size() == 1U);
   }
 }
 
 BOOST_AUTO_TEST_CASE(a_partial_document_changes_what_it_names) {
   sample_machine sample;
-  const configuration before = sample.machine.current();
+  const configuration before = sample.machine->current();
   sample.run(apply_command(
       "p", 1,
       {{"organisations",
@@ -168,9 +171,9 @@
   wanted.version = 2;
   wanted.organisations[0].limit.burst_tokens = 5;
   wanted.endpoints.erase(wanted.endpoints.begin() + 2);
-  BOOST_TEST((sample.machine.current() == wanted));
+  BOOST_TEST((sample.machine->current() == wanted));
   BOOST_TEST(
-      (sample.machine.history().back().touched ==
+      (sample.machine->history().back().touched ==
        std::vector<std::string>{"organisations/brokers", "-endpoints/p2"}));
 }
 
@@ -181,7 +184,7 @@
   document["organisations"][0]["weight"] = 4;
   BOOST_TEST((sample.run(apply_command("w", 1, document)).outcome ==
               change_outcome::changed));
-  BOOST_TEST(sample.machine.current().keys.size() == 1U);
+  BOOST_TEST(sample.machine->current().keys.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(keys_are_made_once_and_withdrawn_for_good) {
@@ -202,13 +205,13 @@
 
 BOOST_AUTO_TEST_CASE(deltas_lead_to_the_same_configuration) {
   sample_machine sample;
-  const configuration start = sample.machine.current();
+  const configuration start = sample.machine->current();
   for (int n = 0; n < 500; ++n) {
     sample.run(apply_command("op" + std::to_string(n),
-                             sample.machine.current().version,
+                             sample.machine->current().version,
                              weight_document(n + 2), true));
-    const configuration& now = sample.machine.current();
-    const auto changes = sample.machine.changes_since(start.version);
+    const configuration& now = sample.machine->current();
+    const auto changes = sample.machine->changes_since(start.version);
     BOOST_REQUIRE(changes.has_value() == (now.version - start.version <=
                                           configuration_machine::kept_deltas));
     if (!changes) {
@@ -221,24 +224,24 @@
     }
     BOOST_REQUIRE((walked == now));
   }
-  BOOST_TEST(!sample.machine.changes_since(900).has_value());
+  BOOST_TEST(!sample.machine->changes_since(900).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(only_a_change_of_order_moves_the_fencing_token) {
   sample_machine sample;
-  BOOST_TEST(sample.machine.order_index("p1") == 1U);
+  BOOST_TEST(sample.machine->order_index("p1") == 1U);
   const auto change = [&](const char* member, const json& value) {
     sample.run(apply_command(
-        member, sample.machine.current().version,
+        member, sample.machine->current().version,
         {{"endpoints", {{{"name", "p1"}, {member, value}}}}}, true));
   };
   change("draining", true);
-  BOOST_TEST(sample.machine.order_index("p1") == 1U);
+  BOOST_TEST(sample.machine->order_index("p1") == 1U);
   change("model_version", "v2");
-  BOOST_TEST(sample.machine.order_index("p1") == 3U);
+  BOOST_TEST(sample.machine->order_index("p1") == 3U);
   sample.restart();
-  BOOST_TEST(sample.machine.order_index("p1") == 3U);
-  BOOST_TEST(sample.machine.order_index("none") == 0U);
+  BOOST_TEST(sample.machine->order_index("p1") == 3U);
+  BOOST_TEST(sample.machine->order_index("none") == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(nonsense_is_a_result) {
@@ -248,5 +251,5 @@
         apply_command("", 1, weight_document(3), true)}) {
     BOOST_TEST((sample.run(command).outcome == change_outcome::malformed));
   }
-  BOOST_TEST(sample.machine.current().version == 1U);
+  BOOST_TEST(sample.machine->current().version == 1U);
 }
