--- /dev/null
+++ b/test/deployment.cc
@@ -0,0 +1,222 @@
+#include "deployment.h"
+
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+namespace citronwharf::test {
+namespace {
+
+constexpr int status_ok = 200;
+
+nlohmann::json quickstart_document() {
+  const char* source = std::getenv("CITRONWHARF_SOURCE");
+  std::ifstream file(std::string(source == nullptr ? "." : source) +
+                     "/examples/quickstart.json");
+  return nlohmann::json::parse(file);
+}
+
+}  // namespace
+
+deployment::deployment()
+    : secret_file_(folder_.write("secret", std::string(64, 's'))),
+      token_file_(folder_.write("token", std::string(64, 't'))) {}
+
+std::string deployment::address(const std::string& process,
+                                const std::string& port) const {
+  return fmt::format(
+      "127.0.0.1:{}",
+      wait_port(folder_.path() + "/" + process + ".ports", port));
+}
+
+std::vector<std::string> deployment::addresses(const std::string& port) const {
+  std::vector<std::string> all;
+  for (const std::string& vm : vms_) {
+    all.push_back(address(vm, port));
+  }
+  return all;
+}
+
+void deployment::start_child(const std::string& name,
+                             const std::string& program,
+                             const program_flags& flags) {
+  std::vector<std::string> command{program};
+  command.insert(command.end(), flags.begin(), flags.end());
+  commands_[name] = command;
+  std::error_code ignored;
+  std::filesystem::remove(folder_.path() + "/" + name + ".ports", ignored);
+  children_.insert_or_assign(
+      name,
+      child_process(program, flags, folder_.path() + "/" + name + ".log"));
+}
+
+void deployment::start_daemon(const std::string& name,
+                              const nlohmann::json& settings) {
+  nlohmann::json whole = {{"process", name},
+                          {"deployment", "test"},
+                          {"region", "izmir"},
+                          {"secret_file", secret_file_},
+                          {"port_file", folder_.path() + "/" + name + ".ports"},
+                          {"trace",
+                           {{"file", folder_.path() + "/" + name + ".trace"}}}};
+  whole.merge_patch(settings);
+  const std::string path = folder_.write(name + ".json", whole.dump());
+  start_child(name, "citronwharfd", {"--settings=" + path});
+  BOOST_REQUIRE_MESSAGE(address(name, "peers") != "127.0.0.1:0",
+                        name + " did not start: " + folder_.read(name + ".log"));
+}
+
+void deployment::start_vm(const std::string& name, const std::string& domain) {
+  start_daemon(name,
+               {{"roles", {"control", "entry"}},
+                {"failure_domain", domain},
+                {"operator_token_file", token_file_},
+                {"data_folder", folder_.path() + "/" + name + ".data"},
+                {"control", {{"seeds", addresses("peers")}}}});
+  vms_.push_back(name);
+  const command_result joined =
+      vms_.size() == 1
+          ? tool({"replica", "init"})
+          : tool({"replica", "add", name, address(name, "peers")});
+  BOOST_REQUIRE_MESSAGE(joined.code == 0, joined.output);
+}
+
+void deployment::start_endpoint(const std::string& name,
+                                const std::string& role,
+                                const std::string& domain,
+                                const program_flags& flags) {
+  const std::string engine = "engine-" + name;
+  program_flags all = flags;
+  all.push_back("--port_file=" + folder_.path() + "/" + engine + ".ports");
+  if (role != "plain") {
+    all.push_back("--role=" + role);
+    all.push_back("--model=teklif");
+  }
+  start_child(engine, role == "plain" ? "fake_service" : "fake_engine", all);
+  start_daemon(name, {{"roles", {"endpoint"}},
+                      {"failure_domain", domain},
+                      {"engine", {{"address", address(engine, "port")}}},
+                      {"control", {{"seeds", addresses("peers")}}}});
+  endpoints_.push_back({{"name", name},
+                        {"address", address(name, "peers")},
+                        {"role", role},
+                        {"failure_domain", domain}});
+}
+
+void deployment::start_endpoints(const program_flags& decode_flags) {
+  start_endpoint("prefill-1", "prefill", "izmir-a");
+  start_endpoint("prefill-2", "prefill", "izmir-b");
+  start_endpoint("decode-1", "decode", "izmir-a", decode_flags);
+  start_endpoint("decode-2", "decode", "izmir-b", decode_flags);
+  start_endpoint("price-1", "plain", "izmir-a");
+}
+
+void deployment::restart(const std::string& process) {
+  children_.at(process).kill();
+  const std::string ports_file = folder_.path() + "/" + process + ".ports";
+  const auto ports = nlohmann::json::parse(folder_.read(process + ".ports"));
+  std::vector<std::string> command = commands_.at(process);
+  if (command.front() == "citronwharfd") {
+    auto settings = nlohmann::json::parse(folder_.read(process + ".json"));
+    for (const auto& [name, port] : ports.items()) {
+      settings["listen"][name] =
+          fmt::format("127.0.0.1:{}", port.get<std::uint16_t>());
+    }
+    folder_.write(process + ".json", settings.dump());
+  } else {
+    command.push_back(fmt::format("--listen=127.0.0.1:{}",
+                                  ports.at("port").get<std::uint16_t>()));
+  }
+  start_child(process, command.front(),
+              program_flags(command.begin() + 1, command.end()));
+  BOOST_REQUIRE_MESSAGE(
+      wait_until([&] { return std::filesystem::exists(ports_file); }),
+      folder_.read(process + ".log"));
+}
+
+command_result deployment::tool(
+    const std::vector<std::string>& arguments) const {
+  std::string admin;
+  for (const std::string& each : addresses("admin")) {
+    admin += (admin.empty() ? "" : ",") + each;
+  }
+  std::vector<std::string> words{"--admin=" + admin,
+                                 "--token_file=" + token_file_};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  return run_command(folder_, "citronwharf", words);
+}
+
+nlohmann::json deployment::configuration() const {
+  nlohmann::json document = quickstart_document();
+  nlohmann::json endpoints = nlohmann::json::array();
+  for (const nlohmann::json& started : endpoints_) {
+    for (nlohmann::json each : document["endpoints"]) {
+      if (each["name"] == started["name"]) {
+        each.merge_patch(started);
+        endpoints.push_back(each);
+      }
+    }
+  }
+  document["endpoints"] = endpoints;
+  document["entries"] = nlohmann::json::array();
+  for (const std::string& vm : vms_) {
+    document["entries"].push_back({{"name", vm},
+                                   {"address", address(vm, "peers")},
+                                   {"failure_domain", "izmir-a"}});
+  }
+  return document;
+}
+
+void deployment::apply(const nlohmann::json& document) const {
+  const std::string path =
+      folder_.write("configuration.json", document.dump(2));
+  const command_result applied = tool({"apply", path});
+  BOOST_REQUIRE_MESSAGE(applied.code == 0, applied.output);
+}
+
+std::string deployment::create_key(const std::string& id,
+                                   const std::string& organisation) const {
+  const command_result made =
+      tool({"--json", "key", "create", id, organisation});
+  BOOST_REQUIRE_MESSAGE(made.code == 0, made.output);
+  return nlohmann::json::parse(made.output).at("secret");
+}
+
+absl::StatusOr<http_response> deployment::call(
+    const std::string& vm, const http_request& request) const {
+  http_call_options options;
+  options.address = address(vm, "callers");
+  options.idle_timeout = seconds(40);
+  return fetch_blocking(options, request);
+}
+
+bool deployment::wait_served(const std::string& key) const {
+  for (const std::string& vm : vms_) {
+    const bool served = wait_until([&] {
+      const auto answer = call(vm, summary_request(key, "ready?", 1));
+      return answer.ok() && answer->status == status_ok;
+    });
+    if (!served) {
+      return false;
+    }
+  }
+  return true;
+}
+
+http_request summary_request(const std::string& key, const std::string& prompt,
+                             int max_tokens, bool stream) {
+  http_request request;
+  request.method = "POST";
+  request.target = "/v1/routes/offer-summaries/generate";
+  request.headers = {{"Authorization", "Bearer " + key},
+                     {"Content-Type", "application/json"}};
+  request.body = nlohmann::json{
+      {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", stream}}
+                     .dump();
+  return request;
+}
+
+}  // namespace citronwharf::test
