Carry allowances between entry processes

The service drives allowance_home and allowance_leases over the sessions of peer_hub; identifiers are counted by incarnation, so a reply goes only to the incarnation that asked. The longest freshness (3 s) is named beside configuration_view::confirm, since a new home waits for it.

--- a/src/base/configuration_view.h
+++ b/src/base/configuration_view.h
@@ -11,6 +11,10 @@
 
 namespace citronwharf {
 
+/// The lease behind confirm(): a process that a newer version has passed by is
+/// fresh for at most this long after that version was committed.
+constexpr duration longest_freshness = seconds(3);
+
 /// Holds the newest accepted configuration of this process. Versions never go
 /// back. Used on the runtime's thread only.
 class configuration_view {
--- a/src/entry/allowance_service.cc
+++ b/src/entry/allowance_service.cc
@@ -1,148 +1,281 @@
-// Until homes are in: one bucket an organisation in each entry process.
+// Carries the decisions of allowance_home and allowance_leases over sessions.
 #include "entry/allowance_service.h"
 
+#include <absl/strings/str_join.h>
+
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
-#include "policy/token_bucket.h"
+#include "observe/event.h"
+#include "policy/allowance_home.h"
+#include "policy/allowance_lease.h"
+#include "policy/home_assignment.h"
 
 namespace citronwharf {
 namespace {
 
-struct waiting_acquire {
+// The timer never waits longer, since authority may come or end meanwhile.
+constexpr duration longest_wait = milliseconds(50);
+constexpr duration shortest_wait = milliseconds(1);
+// Granted acquires remembered for each organisation.
+constexpr std::size_t most_granted = 4096;
+
+constexpr const char* refused_metric =
+    "citronwharf_allowance_refused_within_rate_total";
+constexpr const char* unsent_metric = "citronwharf_allowance_unsent_total";
+
+struct granted_acquire {
   std::uint64_t id = 0;
   double tokens = 0;
-  time_point deadline{};
-  allowance_service::acquired done;
 };
 
-// One organisation's bucket and who waits for it, first come first served.
-struct local_bucket {
-  token_bucket bucket;
-  std::deque<waiting_acquire> waiting;
-  double waiting_tokens = 0;
+struct waiting_acquire {
+  std::string organisation;
+  double tokens = 0;
+  allowance_service::acquired done;
 };
 
 const organisation* find_organisation(const configuration& in,
                                       const std::string& name) {
-  for (const organisation& each : in.organisations) {
-    if (each.name == name) return &each;
-  }
-  return nullptr;
+  // Sorted by name once accepted.
+  const auto found =
+      std::lower_bound(in.organisations.begin(), in.organisations.end(), name,
+                       [](const organisation& each, const std::string& wanted) {
+                         return each.name < wanted;
+                       });
+  const bool known = found != in.organisations.end() && found->name == name;
+  return known ? &*found : nullptr;
 }
 
-class local_allowance_service final : public allowance_service {
+class shared_allowance_service final : public allowance_service {
  public:
-  explicit local_allowance_service(process_context& process)
-      : process_(process), timer_(process.loop) {}
+  explicit shared_allowance_service(process_context& process)
+      : process_(process),
+        timer_(process.loop),
+        assignment_(process.options.process, home_timing{}),
+        home_(allowance_home_options{}, process.incarnation),
+        leases_(allowance_lease_options{}, [this](const std::string& of) {
+          return assignment_.home_of(of);
+        }) {
+    listen();
+    configure(*process_.view.current());
+    process_.view.subscribe(
+        [this](const configuration& next) { configure(next); });
+  }
 
   std::uint64_t acquire(const std::string& organisation, double tokens,
                         time_point deadline, acquired done) override {
     const std::uint64_t id = ++last_id_;
-    local_bucket* mine = bucket_of(organisation);
-    if (mine == nullptr) {
-      answer(std::move(done), {true, true, duration::zero()});
-      return id;
-    }
-    const time_point now = runtime_clock::now();
-    const duration wait =
-        tokens > mine->bucket.limit().burst_tokens
-            ? duration::max()
-            : mine->bucket.wait_for(tokens + mine->waiting_tokens, now);
-    const bool never = wait == duration::max();
-    if (never || now + wait > deadline) {
-      answer(std::move(done), {false, false, never ? seconds(1) : wait});
-      return id;
-    }
-    mine->waiting.push_back({id, tokens, deadline, std::move(done)});
-    mine->waiting_tokens += tokens;
-    serve();
+    waiting_[id] = {organisation, tokens, std::move(done)};
+    // From the loop's next turn, so that a lease is checked just before use.
+    boost::asio::post(process_.loop,
+                      [this, id, deadline] { start(id, deadline); });
     return id;
   }
 
   void abandon(std::uint64_t id) override {
-    for (auto& [name, mine] : buckets_) {
-      for (auto each = mine.waiting.begin(); each != mine.waiting.end();
-           ++each) {
-        if (each->id != id) continue;
-        mine.waiting_tokens -= each->tokens;
-        mine.waiting.erase(each);
-        return;
-      }
-    }
+    waiting_.erase(id);
+    perform(leases_.abandon(id));
   }
 
   void give_back(const std::string& organisation, double tokens) override {
-    const auto found = buckets_.find(organisation);
-    if (found == buckets_.end()) return;
-    found->second.bucket.put_back(tokens, runtime_clock::now());
-    serve();
+    std::deque<granted_acquire>& from = granted_[organisation];
+    const auto found = std::find_if(from.begin(), from.end(),
+                                    [tokens](const granted_acquire& each) {
+                                      return each.tokens >= tokens;
+                                    });
+    if (found == from.end()) return;
+    const std::uint64_t id = found->id;
+    from.erase(found);
+    give_back_of(id, tokens);
+  }
+
+  void give_back_of(std::uint64_t id, double tokens) override {
+    perform(leases_.give_back(id, tokens, runtime_clock::now()));
   }
 
  private:
-  // Nothing for an organisation without a rate: it is not limited.
-  local_bucket* bucket_of(const std::string& name) {
+  void listen() {
+    peer_hub& hub = process_.peers;
+    hub.on<allowance_ask>(
+        [this](const peer_id& from, const auto& in) { take_ask(from, in); });
+    hub.on<allowance_settle>([this](const peer_id& from, const auto& in) {
+      home_.settle(from.name, from.incarnation, in, runtime_clock::now());
+      serve();
+    });
+    hub.on<allowance_refund>([this](const peer_id& from, const auto& in) {
+      home_.refund(from.name, from.incarnation, in, runtime_clock::now());
+      serve();
+    });
+    hub.on<allowance_cancel>([this](const peer_id& from, const auto& in) {
+      home_.cancel(from.name, from.incarnation, in);
+    });
+    hub.on<allowance_grant>([this](const peer_id& from, const auto& in) {
+      perform(leases_.on_grant(from.name, in, runtime_clock::now()));
+    });
+    hub.on<allowance_refusal>([this](const peer_id& from, const auto& in) {
+      perform(leases_.on_refusal(from.name, in, runtime_clock::now()));
+    });
+  }
+
+  void configure(const configuration& next) {
+    if (next.version == 0) return;
+    const time_point now = runtime_clock::now();
+    assignment_.configure(next, now);
+    meet_members(next.entries);
+    for (const std::string& each : home_.organisations()) {
+      const auto terms = terms_of(each);
+      if (terms && assignment_.mine(each)) {
+        home_.renew(each, *terms, now);
+      } else {
+        send(home_.resign(each));
+      }
+    }
+    arm();
+  }
+
+  void meet_members(const std::vector<entry_member>& members) {
+    std::set<std::string> names;
+    for (const entry_member& each : members) {
+      names.insert(each.name);
+      if (each.name == process_.options.process) continue;
+      process_.peers.connect(each.name, each.address);
+    }
+    if (names == members_) return;
+    members_ = std::move(names);
+    log_event(events::allowance_home_changed, absl::StrJoin(members_, ", "));
+  }
+
+  // Nothing for an organisation that is unknown or has no rate.
+  std::optional<home_terms> terms_of(const std::string& name) const {
     const auto* known = find_organisation(*process_.view.current(), name);
     if (known == nullptr || known->limit.tokens_per_second <= 0) {
-      return nullptr;
+      return std::nullopt;
     }
-    const time_point now = runtime_clock::now();
-    const auto made = buckets_.try_emplace(
-        name,
-        local_bucket{
-            token_bucket(known->limit, known->limit.burst_tokens, now), {}, 0});
-    local_bucket& mine = made.first->second;
-    if (mine.bucket.limit() != known->limit) {
-      mine.bucket.set_limit(known->limit, now);
+    const std::size_t entries = std::max<std::size_t>(1, members_.size());
+    return home_terms{known->limit, assignment_.starts_at(name), entries};
+  }
+
+  void start(std::uint64_t id, time_point deadline) {
+    const auto found = waiting_.find(id);
+    if (found == waiting_.end()) return;
+    const waiting_acquire& asked = found->second;
+    if (!terms_of(asked.organisation)) {
+      finish({id, true, true, duration::zero()});
+      return;
     }
-    return &mine;
+    perform(leases_.acquire(id, asked.organisation, asked.tokens, deadline,
+                            runtime_clock::now()));
   }
 
-  void answer(acquired done, allowance_decision decision) {
-    boost::asio::post(process_.loop,
-                      [done = std::move(done), decision] { done(decision); });
+  void take_ask(const peer_id& from, const allowance_ask& in) {
+    const auto terms = terms_of(in.organisation);
+    if (!terms || !assignment_.mine(in.organisation)) {
+      allowance_refusal wrong;
+      wrong.organisation = in.organisation;
+      wrong.id = in.id;
+      wrong.wrong_home = true;
+      send({{from.name, from.incarnation, wrong}});
+      return;
+    }
+    home_.authorise(process_.view.fresh_until());
+    send(home_.ask(from.name, from.incarnation, in, *terms,
+                   runtime_clock::now()));
+    arm();
   }
 
-  // Answers all that can be and sets the timer for the next.
   void serve() {
-    const time_point now = runtime_clock::now();
-    std::optional<time_point> next;
-    for (auto& [name, mine] : buckets_) {
-      const duration wait = serve_one(mine, now);
-      if (wait == duration::max()) continue;
-      next = next ? std::min(*next, now + wait) : now + wait;
+    home_.authorise(process_.view.fresh_until());
+    send(home_.serve(runtime_clock::now()));
+    arm();
+  }
+
+  void send(const home_replies& replies) {
+    for (const home_reply& each : replies) {
+      // Identifiers are counted by the incarnation that asked.
+      const bool same =
+          process_.peers.session_incarnation(each.entry) == each.incarnation;
+      if (!same && each.entry != process_.options.process) continue;
+      std::visit([&](const auto& message) { post(each.entry, message); },
+                 each.message);
     }
-    if (!next) return;
-    timer_.expires_at(*next);
-    timer_.async_wait([this](boost::system::error_code error) {
-      if (!error) serve();
-    });
   }
 
-  // Returns the wait of the first that is left.
-  duration serve_one(local_bucket& mine, time_point now) {
-    while (!mine.waiting.empty()) {
-      waiting_acquire& first = mine.waiting.front();
-      const bool granted = mine.bucket.take(first.tokens, now);
-      const bool late = now >= first.deadline;
-      if (!granted && !late) {
-        return mine.bucket.wait_for(first.tokens, now);
+  // Lost messages are asked for again, or end with their lease.
+  template <typename Message>
+  void post(const std::string& to, const Message& message) {
+    const absl::Status sent = process_.peers.send(to, make_frame(message));
+    if (!sent.ok()) {
+      process_.metrics.add(unsent_metric, {});
+    }
+  }
+
+  void perform(const lease_actions& actions) {
+    for (const lease_action& each : actions) {
+      if (const auto* sent = std::get_if<lease_send>(&each)) {
+        std::visit([&](const auto& message) { post(sent->home, message); },
+                   sent->message);
+      } else {
+        finish(std::get<lease_answer>(each));
       }
-      const duration wait =
-          granted ? duration::zero() : mine.bucket.wait_for(first.tokens, now);
-      mine.waiting_tokens -= first.tokens;
-      answer(std::move(first.done), {granted, granted, wait});
-      mine.waiting.pop_front();
     }
-    return duration::max();
+    arm();
+  }
+
+  void finish(const lease_answer& answer) {
+    const auto found = waiting_.find(answer.id);
+    if (found == waiting_.end()) return;
+    waiting_acquire asked = std::move(found->second);
+    waiting_.erase(found);
+    if (answer.granted) {
+      std::deque<granted_acquire>& kept = granted_[asked.organisation];
+      kept.push_back({answer.id, asked.tokens});
+      if (kept.size() > most_granted) kept.pop_front();
+    }
+    if (!answer.granted && answer.within_rate) {
+      process_.metrics.add(refused_metric, {});
+    }
+    asked.done({answer.granted, answer.within_rate, answer.retry_after});
+  }
+
+  void tick() {
+    perform(leases_.tick(runtime_clock::now()));
+    serve();
+  }
+
+  // Sets the timer for what is due next, unless it is set for sooner.
+  void arm() {
+    const time_point now = runtime_clock::now();
+    std::optional<time_point> due = leases_.next_tick();
+    const auto serve_at = home_.next_serve(now);
+    if (serve_at) due = due ? std::min(*due, *serve_at) : *serve_at;
+    if (!due) return;
+    const time_point at =
+        std::clamp(*due, now + shortest_wait, now + longest_wait);
+    if (armed_ && timer_.expiry() <= at) return;
+    armed_ = true;
+    timer_.expires_at(at);
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (error) return;
+      armed_ = false;
+      tick();
+    });
   }
 
   process_context& process_;
   runtime_timer timer_;
-  std::map<std::string, local_bucket> buckets_;
+  bool armed_ = false;
+  home_assignment assignment_;
+  allowance_home home_;
+  allowance_leases leases_;
+  std::set<std::string> members_;
+  std::map<std::uint64_t, waiting_acquire> waiting_;
+  std::map<std::string, std::deque<granted_acquire>> granted_;
   std::uint64_t last_id_ = 0;
 };
 
@@ -150,7 +283,7 @@
 
 std::unique_ptr<allowance_service> make_allowance_service(
     process_context& process) {
-  return std::make_unique<local_allowance_service>(process);
+  return std::make_unique<shared_allowance_service>(process);
 }
 
 }  // namespace citronwharf
--- a/src/policy/home_assignment.cc
+++ b/src/policy/home_assignment.cc
@@ -65,8 +65,7 @@
       others_until = each.ended;
     }
   }
-  return others_until + timing_.longest_freshness + timing_.lease +
-         timing_.margin;
+  return others_until + timing_.freshness + timing_.lease + timing_.margin;
 }
 
 void home_assignment::forget_old() {
--- a/src/policy/home_assignment.h
+++ b/src/policy/home_assignment.h
@@ -8,15 +8,15 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/configuration_view.h"
 #include "citronwharf/configuration.h"
 
 namespace citronwharf {
 
 /// How long an earlier home may have gone on.
 struct home_timing {
-  /// An entry confirmed as fresh stays so for at most this long. Precondition:
-  /// not shorter than the lease behind configuration_view::confirm().
-  duration longest_freshness = seconds(5);
+  /// An entry that a newer version has passed by may give for this long.
+  duration freshness = longest_freshness;
   duration lease = milliseconds(500);  ///< of tokens
   duration margin = milliseconds(50);  ///< for clocks that run unevenly
 };
--- a/test/allowance-home-test.cc
+++ b/test/allowance-home-test.cc
@@ -27,7 +27,7 @@
   home_assignment all(home, {});
   all.configure(members(1, {"a", "b", "c"}), start_time);
   for (int i = 0;; ++i) {
-    const std::string name = "o" + std::to_string(i);
+    std::string name = "o" + std::to_string(i);
     if (all.mine(name)) return name;
   }
 }
--- a/test/allowance-test.cc
+++ b/test/allowance-test.cc
@@ -143,7 +143,7 @@
   void at(time_point when, std::function<void()> todo) {
     events_.push({when, ++order_, std::move(todo)});
   }
-  void every(duration span, std::function<void()> todo) {
+  void every(duration span, const std::function<void()>& todo) {
     at(now_ + span, [this, span, todo] {
       todo();
       every(span, todo);
@@ -204,8 +204,7 @@
     if (newest < n.version) return;
     if (n.version == 0 || skips) n.version = std::max(n.version, newest - 1);
     while (n.version < newest) configure(n, n.version + 1);
-    n.fresh_until =
-        std::max(n.fresh_until, asked_at + timing.longest_freshness);
+    n.fresh_until = std::max(n.fresh_until, asked_at + timing.freshness);
     n.home->authorise(n.fresh_until);
   }
 
