Add admission and bench_policy with the baselines

Drives placement, reservation book, fair queue and admission over a model of the endpoints in virtual time.

--- /dev/null
+++ b/bench/policy_run.h
@@ -0,0 +1,525 @@
+/// One run of bench_policy: takes requests through the decision modules, over
+/// the modelled endpoints, under virtual time. A seed fixes everything.
+#ifndef CITRONWHARF_BENCH_POLICY_RUN_H_
+#define CITRONWHARF_BENCH_POLICY_RUN_H_
+
+#include <functional>
+#include <queue>
+#include <utility>
+
+#include "policy_model.h"
+
+namespace citronwharf::bench {
+
+constexpr duration warm_up = seconds(5);  // not counted
+constexpr duration drain = seconds(15);   // after the last arrival
+constexpr int most_tries = 2;             // decode endpoints asked in turn
+constexpr double learning_weight = 0.02;
+inline const std::vector<double>& organisation_weights() {
+  static const std::vector<double> weights = {4, 3, 1, 1, 1};
+  return weights;
+}
+
+class policy_run {
+ public:
+  policy_run(const variant& way, const scenario& what)
+      : way_(way), what_(what), random_(what.seed) {
+    set_up();
+  }
+
+  result run() {
+    plan_arrivals();
+    if (what_.faults) plan_faults();
+    at(now_, [this] { sample(); });
+    const time_point end = now_ + what_.length + drain;
+    while (!events_.empty() && events_.top().at <= end) {
+      const auto todo = events_.top().todo;
+      now_ = events_.top().at;
+      events_.pop();
+      todo();
+    }
+    result_.seconds = in_seconds(what_.length - warm_up);
+    return result_;
+  }
+
+ private:
+  using id_type = std::uint64_t;
+  struct event {
+    time_point at;
+    std::uint64_t order;
+    std::function<void()> todo;
+    bool operator<(const event& rhs) const {
+      return std::tie(rhs.at, rhs.order) < std::tie(at, order);
+    }
+  };
+
+  void at(time_point when, std::function<void()> todo) {
+    events_.push({when, ++order_, std::move(todo)});
+  }
+  void after(duration span, std::function<void()> todo) {
+    at(now_ + span, std::move(todo));
+  }
+  // Runs at the other process, one hop later.
+  void hop(std::function<void()> todo) {
+    after(what_.size.hop, std::move(todo));
+  }
+
+  void set_up() {
+    configuration all;
+    all.version = 1;
+    const auto add = [&all](const std::string& name, endpoint_role role,
+                            int i) {
+      endpoint made;
+      made.name = name;
+      made.pool = role == endpoint_role::prefill ? "prefill" : "decode";
+      made.role = role;
+      made.failure_domain = std::string(1, char('a' + i % 3));
+      all.endpoints.push_back(made);
+    };
+    prefill_.resize(std::size_t(what_.size.prefill));
+    for (std::size_t i = 0; i < prefill_.size(); ++i) {
+      prefill_[i].name = fmt::format("p{}", i);
+      add(prefill_[i].name, endpoint_role::prefill, int(i));
+    }
+    reservation_options book;
+    book.pieces_total = pieces_total;
+    book.max_running = max_running;
+    book.policy = way_.promise;
+    decode_.resize(std::size_t(what_.size.decode));
+    for (std::size_t i = 0; i < decode_.size(); ++i) {
+      decode_[i].name = fmt::format("d{}", i);
+      decode_[i].book.emplace(book);
+      add(decode_[i].name, endpoint_role::decode, int(i));
+    }
+    for (int i = 0; i < (way_.oracle ? 1 : what_.size.entries); ++i) {
+      placement_options options;
+      options.policy = way_.place;
+      options.entry = fmt::format("e{}", i);
+      options.seed = what_.seed + std::uint64_t(i);
+      entries_.emplace_back(options);
+      entries_.back().configure(all);
+    }
+    for (const double weight : organisation_weights()) {
+      result_.organisations.push_back({weight, 0, 0, 0});
+    }
+  }
+
+  void plan_arrivals() {
+    const auto& weights = organisation_weights();
+    std::vector<double> rates = weights;
+    if (what_.flood) rates.back() *= flood_factor;
+    double sum = 0;
+    for (const double each : rates) sum += each;
+    for (std::size_t o = 0; o < rates.size(); ++o) {
+      const double rate = what_.load * capacity(what_.size) * rates[o] / sum;
+      std::exponential_distribution<double> gap(rate);
+      time_point when = now_ + of_seconds(gap(random_));
+      for (; when < now_ + what_.length; when += of_seconds(gap(random_))) {
+        request made = draw_request(random_, int(o));
+        made.arrived = when;
+        made.entry = int(random_() % std::uint64_t(what_.size.entries));
+        const id_type id = requests_.size();
+        made.key = {fmt::format("e{}", made.entry), 1, id, 1};
+        requests_.push_back(std::move(made));
+        at(when, [this, id] { arrive(id); });
+      }
+    }
+  }
+
+  void plan_faults() {
+    at(now_ + what_.length / 4, [this] { lose_prefill(0); });
+    at(now_ + what_.length / 2, [this] { lose_decode(0); });
+    at(now_ + what_.length * 3 / 4, [this] { decode_[1].leaving = true; });
+  }
+
+  request& of(id_type id) { return requests_[std::size_t(id)]; }
+  bool counted(const request& r) const {
+    return r.arrived >= time_point(seconds(1000)) + warm_up;
+  }
+  placement& entry_of(const request& r) {
+    return entries_[way_.oracle ? 0 : std::size_t(r.entry)];
+  }
+  decode_endpoint& decode_of(const request& r) {
+    return decode_[std::size_t(r.decode)];
+  }
+
+  // Engines report their load with a lag; replies carry the last report.
+  void sample() {
+    for (auto& each : prefill_) each.report = load_of(each, now_);
+    for (auto& each : decode_) each.report = load_of(each);
+    after(report_lag, [this] { sample(); });
+  }
+  template <typename Endpoint>
+  void reply(const request& r, const Endpoint& from) {
+    entry_of(r).observe(from.name, from.report, now_);
+  }
+  void look_everywhere(placement& by) {
+    if (!way_.oracle) return;
+    for (const auto& p : prefill_) {
+      by.observe(p.name, load_of(p, now_), now_);
+      by.reachable(p.name, p.up, now_);
+    }
+    for (const auto& d : decode_) {
+      by.observe(d.name, load_of(d), now_);
+      by.reachable(d.name, d.up, now_);
+    }
+  }
+
+  placement_query query_of(const request& r, const char* pool) const {
+    placement_query asked;
+    asked.pool = pool;
+    asked.prompt_tokens = r.prompt;
+    asked.max_tokens = r.max_tokens;
+    asked.excluded = r.excluded;
+    return asked;
+  }
+
+  queue_item item_of(id_type id, double cost, time_point deadline) {
+    queue_item item;
+    item.id = id;
+    const int o = of(id).organisation;
+    item.organisation = way_.fair ? fmt::format("o{}", o) : "all";
+    item.weight = way_.fair ? organisation_weights()[std::size_t(o)] : 1;
+    item.cost = cost;
+    item.deadline = deadline;
+    return item;
+  }
+
+  void arrive(id_type id) {
+    request& r = of(id);
+    if (counted(r)) {
+      ++result_.offered;
+      ++result_.organisations[std::size_t(r.organisation)].offered;
+    }
+    reserve(id);
+  }
+
+  // Entry: asks a decode endpoint for memory by the end of the prefill.
+  void reserve(id_type id) {
+    request& r = of(id);
+    placement& by = entry_of(r);
+    look_everywhere(by);
+    placement_query prefill = query_of(r, "prefill");
+    prefill.prefix_hash = r.prefix;
+    const auto first = by.choose(prefill, 1, now_);
+    const auto chosen = by.choose(query_of(r, "decode"), 1, now_);
+    if (first.empty() || chosen.empty()) return refuse(id);
+    r.ready_in = first.front().predicted_wait + first.front().predicted_run +
+                 transfer_time(r, true) + 4 * what_.size.hop +
+                 step_time(max_running);
+    r.decode = std::stoi(chosen.front().endpoint.substr(1));
+    by.sent(chosen.front().endpoint, r.max_tokens, now_);
+    hop([this, id] { desk_take(id); });
+  }
+
+  void desk_take(id_type id) {
+    request& r = of(id);
+    decode_endpoint& d = decode_of(r);
+    if (!d.up) return unanswered(id);
+    const time_point latest = r.target() - r.ready_in;
+    const queue_item item = item_of(id, r.pieces(), latest);
+    const auto decided = d.admits.decide(d.desk, item, latest - now_);
+    const bool late = latest <= now_;
+    if (d.leaving || late || !decided.admitted || !d.desk.push(item).ok()) {
+      hop([this, id] { elsewhere(id); });
+      return;
+    }
+    desk_serve(r.decode);
+  }
+
+  // Entry: the decode endpoint refused; another may have room.
+  void elsewhere(id_type id) {
+    request& r = of(id);
+    decode_endpoint& d = decode_of(r);
+    reply(r, d);
+    entry_of(r).ended(d.name, r.max_tokens, now_);
+    r.excluded.push_back(d.name);
+    r.decode = -1;
+    if (++r.tries >= most_tries) return refuse(id);
+    reserve(id);
+  }
+
+  // Entry: a lost endpoint does not answer, which is noticed in time.
+  void unanswered(id_type id) {
+    after(loss_noticed, [this, id] {
+      if (!of(id).over) elsewhere(id);
+    });
+  }
+
+  void desk_serve(int index) {
+    decode_endpoint& d = decode_[std::size_t(index)];
+    if (!d.up) return;
+    for (const queue_item& late : d.desk.expire(now_)) {
+      hop([this, id = late.id] { elsewhere(id); });
+    }
+    d.book->expire(now_);
+    while (const auto next = d.desk.peek()) {
+      request& r = of(next->id);
+      const auto answer = d.book->reserve(r.key, r.pieces(), r.ready_in, now_);
+      if (!answer.granted) {
+        const duration wait =
+            std::max<duration>(answer.retry_after, milliseconds(1));
+        at(now_ + std::min<duration>(wait, milliseconds(50)),
+           [this, index] { desk_serve(index); });
+        return;
+      }
+      d.desk.pop();
+      d.admits.served(next->cost, d.desk.size() > 0, now_);
+      r.promised = way_.promise != promise_policy::none;
+      hop([this, id = next->id] { granted(id); });
+    }
+  }
+
+  // Entry: memory is promised; the prefill may start.
+  void granted(id_type id) {
+    request& r = of(id);
+    placement& by = entry_of(r);
+    reply(r, decode_of(r));
+    look_everywhere(by);
+    placement_query asked = query_of(r, "prefill");
+    asked.prefix_hash = r.prefix;
+    asked.near_domain = std::string(1, char('a' + r.decode % 3));
+    const auto chosen = by.choose(asked, 1, now_);
+    if (chosen.empty()) return refuse(id);
+    r.prefill = std::stoi(chosen.front().endpoint.substr(1));
+    by.sent(chosen.front().endpoint, r.prompt, now_);
+    hop([this, id] { prefill_take(id); });
+  }
+
+  void prefill_take(id_type id) {
+    request& r = of(id);
+    prefill_endpoint& p = prefill_[std::size_t(r.prefill)];
+    const duration rest = of_seconds(r.prompt / prefill_speed) +
+                          transfer_time(r, true) + 2 * what_.size.hop;
+    const queue_item item = item_of(id, r.prompt, r.target() - rest);
+    if (!p.up) {
+      after(loss_noticed, [this, id] { refuse(id); });
+    } else if (!p.queue.push(item).ok()) {
+      hop([this, id] { refuse(id); });
+    } else {
+      prefill_serve(r.prefill);
+    }
+  }
+
+  void prefill_serve(int index) {
+    prefill_endpoint& p = prefill_[std::size_t(index)];
+    if (!p.up || p.current) return;
+    for (const queue_item& late : p.queue.expire(now_)) {
+      hop([this, id = late.id] { refuse(id); });
+    }
+    const auto next = p.queue.pop();
+    if (!next) return;
+    const id_type id = next->id;
+    const duration span = run_prefill(p, of(id));
+    p.current = id;
+    p.current_ends = now_ + span;
+    result_.prefilled += of(id).prompt;
+    after(span, [this, id, index, span] {
+      prefill_endpoint& on = prefill_[std::size_t(index)];
+      if (!on.up || on.current != id) return;
+      on.current.reset();
+      of(id).exported_until = now_ + export_life;
+      hop([this, id, span] { exported(id, span); });
+      prefill_serve(index);
+    });
+  }
+
+  // Entry: the prefill is done; the decode endpoint imports it.
+  void exported(id_type id, duration span) {
+    request& r = of(id);
+    prefill_endpoint& p = prefill_[std::size_t(r.prefill)];
+    reply(r, p);
+    entry_of(r).ended(p.name, r.prompt, now_);
+    entry_of(r).measured(p.name, r.prompt, span);
+    hop([this, id] { import_take(id); });
+  }
+
+  void import_take(id_type id) {
+    request& r = of(id);
+    decode_endpoint& d = decode_of(r);
+    if (!d.up) return move_import(id);
+    d.importing.push_back(id);
+    at(r.exported_until, [this, id] { import_late(id); });
+    import_all(r.decode);
+  }
+
+  // Entry: the decode endpoint is lost; another may take the export.
+  void move_import(id_type id) {
+    request& r = of(id);
+    r.promised = false;
+    r.excluded.push_back(decode_of(r).name);
+    after(lost_noticed_ ? duration::zero() : loss_noticed, [this, id] {
+      request& again = of(id);
+      const auto chosen =
+          entry_of(again).choose(query_of(again, "decode"), 1, now_);
+      if (chosen.empty() || now_ >= again.exported_until) return waste(id);
+      again.decode = std::stoi(chosen.front().endpoint.substr(1));
+      hop([this, id] { import_take(id); });
+    });
+  }
+
+  void import_all(int index) {
+    decode_endpoint& d = decode_[std::size_t(index)];
+    while (!d.importing.empty()) {
+      const id_type id = d.importing.front();
+      request& r = of(id);
+      if (!d.book->start(r.key, r.pieces(), predicted_release(r), now_)) return;
+      d.importing.pop_front();
+      r.promised = false;
+      const bool near = r.prefill % 3 == r.decode % 3;
+      d.link_free = std::max(d.link_free, now_) + transfer_time(r, near);
+      at(d.link_free, [this, id] { joined(id); });
+    }
+  }
+
+  void import_late(id_type id) {
+    request& r = of(id);
+    decode_endpoint& d = decode_of(r);
+    const auto found = std::find(d.importing.begin(), d.importing.end(), id);
+    if (r.over || found == d.importing.end()) return;
+    d.importing.erase(found);
+    waste(id);
+  }
+
+  time_point predicted_release(const request& r) const {
+    const double tokens = way_.oracle ? r.output : r.max_tokens * output_ratio_;
+    return now_ + of_seconds(tokens * in_seconds(step_time(max_running)));
+  }
+
+  void joined(id_type id) {
+    request& r = of(id);
+    decode_endpoint& d = decode_of(r);
+    if (!d.up || r.over) return;
+    d.running.push_back(id);
+    if (!d.stepping) step(r.decode);
+  }
+
+  void step(int index) {
+    decode_endpoint& d = decode_[std::size_t(index)];
+    d.stepping = d.up && !d.running.empty();
+    if (!d.stepping) return;
+    const duration span = step_time(d.running.size());
+    const std::vector<id_type> batch = d.running;
+    after(span, [this, index, span, batch] {
+      decode_endpoint& on = decode_[std::size_t(index)];
+      if (!on.up) return;
+      for (const id_type id : batch) token(on, id, span);
+      import_all(index);
+      desk_serve(index);
+      step(index);
+    });
+  }
+
+  void token(decode_endpoint& d, id_type id, duration gap) {
+    request& r = of(id);
+    if (r.tokens++ == 0) r.first_token = now_;
+    if (gap > between_tokens_target) ++r.slow_gaps;
+    if (r.tokens < r.output) return;
+    d.running.erase(std::find(d.running.begin(), d.running.end(), id));
+    d.book->release(r.key);
+    const double ratio = double(r.output) / r.max_tokens;
+    output_ratio_ += learning_weight * (ratio - output_ratio_);
+    hop([this, id] { finish(id); });
+  }
+
+  void finish(id_type id) {
+    request& r = of(id);
+    r.over = true;
+    reply(r, decode_of(r));
+    entry_of(r).ended(decode_of(r).name, r.max_tokens, now_);
+    if (!counted(r)) return;
+    const bool good = r.first_token + what_.size.hop <= r.target() &&
+                      r.slow_gaps <= r.tokens * slow_gaps_allowed;
+    ++(good ? result_.good : result_.late);
+    if (good) ++result_.organisations[std::size_t(r.organisation)].good;
+  }
+
+  // Ends a request of which nothing ran.
+  void refuse(id_type id) {
+    request& r = of(id);
+    if (r.over) return;
+    r.over = true;
+    leave(r);
+    if (!counted(r)) return;
+    ++result_.refused;
+    ++result_.organisations[std::size_t(r.organisation)].refused;
+  }
+
+  // The prefill ran for nothing.
+  void waste(id_type id) {
+    request& r = of(id);
+    if (r.over) return;
+    result_.wasted += r.prompt;
+    fail(id);
+  }
+
+  void fail(id_type id) {
+    request& r = of(id);
+    if (r.over) return;
+    r.over = true;
+    leave(r);
+    if (counted(r)) ++result_.failed;
+  }
+
+  void leave(request& r) {
+    if (r.prefill >= 0 && r.exported_until == time_point{}) {
+      entry_of(r).ended(prefill_[std::size_t(r.prefill)].name, r.prompt, now_);
+    }
+    if (r.decode < 0) return;
+    decode_endpoint& d = decode_of(r);
+    entry_of(r).ended(d.name, r.max_tokens, now_);
+    const bool held = d.book->release(r.key);
+    if (held) hop([this, index = r.decode] { desk_serve(index); });
+  }
+
+  void lose_prefill(int index) {
+    prefill_endpoint& p = prefill_[std::size_t(index)];
+    p.up = false;
+    std::vector<id_type> lost;
+    while (const auto each = p.queue.pop()) lost.push_back(each->id);
+    if (p.current) {
+      result_.wasted += of(*p.current).prompt;
+      lost.push_back(*p.current);
+    }
+    after(loss_noticed, [this, index, lost] {
+      for (auto& each : entries_) {
+        each.reachable(prefill_[std::size_t(index)].name, false, now_);
+      }
+      for (const id_type id : lost) refuse(id);
+    });
+  }
+
+  void lose_decode(int index) {
+    decode_endpoint& d = decode_[std::size_t(index)];
+    d.up = false;
+    while (const auto each = d.desk.pop()) unanswered(each->id);
+    for (const id_type id : d.importing) move_import(id);
+    d.importing.clear();
+    for (const id_type id : d.running) fail(id);
+    d.running.clear();
+    after(loss_noticed, [this, index] {
+      lost_noticed_ = true;
+      for (auto& each : entries_) {
+        each.reachable(decode_[std::size_t(index)].name, false, now_);
+      }
+    });
+  }
+
+  variant way_;
+  scenario what_;
+  std::mt19937_64 random_;
+  time_point now_{seconds(1000)};
+  std::uint64_t order_ = 0;
+  std::priority_queue<event> events_;
+  std::vector<request> requests_;
+  std::vector<prefill_endpoint> prefill_;
+  std::vector<decode_endpoint> decode_;
+  std::vector<placement> entries_;
+  double output_ratio_ = 0.5;  // learned: output over max_tokens
+  bool lost_noticed_ = false;
+  result result_;
+};
+
+}  // namespace citronwharf::bench
+
+#endif  // CITRONWHARF_BENCH_POLICY_RUN_H_
--- a/src/policy/fair_queue.cc
+++ b/src/policy/fair_queue.cc
@@ -39,6 +39,7 @@
   double start = 0;
   std::uint64_t arrival = 0;
   std::map<item_place, queue_item> items;
+  double cost = 0;  // of the items
 };
 
 struct location {
@@ -68,6 +69,7 @@
     locations_.emplace(item.id, location{item.organisation, place});
     deadlines_.emplace(item.deadline, item.id);
     cost_ += item.cost;
+    waiting.cost += item.cost;
     return absl::OkStatus();
   }
 
@@ -98,6 +100,7 @@
     const auto place = waiting.items.find(at.place);
     queue_item item = std::move(place->second);
     waiting.items.erase(place);
+    waiting.cost = waiting.items.empty() ? 0 : waiting.cost - item.cost;
     if (waiting.items.empty()) rest(at.organisation, waiting);
     deadlines_.erase({item.deadline, id});
     cost_ = locations_.empty() ? 0 : cost_ - item.cost;
@@ -118,6 +121,17 @@
     return found == backlogs_.end() ? 0 : found->second.items.size();
   }
   double cost() const { return cost_; }
+  double cost_of(const std::string& organisation) const {
+    const auto found = backlogs_.find(organisation);
+    return found == backlogs_.end() ? 0 : found->second.cost;
+  }
+  double weight() const {
+    double sum = 0;
+    for (const turn& each : turns_) {
+      sum += backlogs_.at(each.organisation).items.begin()->second.weight;
+    }
+    return sum;
+  }
 
  private:
   // Makes the organisation wait for its turn, if it does not yet.
@@ -214,4 +228,12 @@
   return impl_->cost();
 }
 
+double fair_queue::waiting_cost_of(const std::string& organisation) const {
+  return impl_->cost_of(organisation);
+}
+
+double fair_queue::waiting_weight() const {
+  return impl_->weight();
+}
+
 }  // namespace citronwharf
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -55,6 +55,10 @@
   std::size_t size_of(const std::string& organisation) const;
   /// Returns the summed cost of what waits.
   double waiting_cost() const;
+  /// Returns the cost of what waits for one organisation.
+  double waiting_cost_of(const std::string& organisation) const;
+  /// Returns the summed weight of the organisations that wait.
+  double waiting_weight() const;
 
  private:
   class impl;
