--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -94,6 +94,7 @@
       placement_options options;
       options.policy = way_.place;
       options.entry = fmt::format("e{}", i);
+      if (way_.oracle) options.report_lag = duration::zero();
       options.seed = what_.seed + std::uint64_t(i);
       entries_.emplace_back(options);
       entries_.back().configure(all);
--- a/src/policy/endpoint_estimate.cc
+++ b/src/policy/endpoint_estimate.cc
@@ -13,6 +13,7 @@
 constexpr std::int32_t least_measured_tokens = 256;
 constexpr double new_measurement_weight = 0.2;
 constexpr std::int32_t longest_doubling = 16;
+constexpr std::size_t most_unreported = 1024;
 
 }  // namespace
 
@@ -20,23 +21,39 @@
   if (load.incarnation != load_.incarnation && load_.incarnation != 0) {
     outstanding_ = 0;
     requests_ = 0;
+    forget_reported(now);
   }
   load_ = load;
   observed_at_ = now;
-  since_report_ = 0;
-  requests_since_report_ = 0;
+  forget_reported(now - lag_);
 }
 
-void endpoint_estimate::sent(std::int32_t tokens) {
+void endpoint_estimate::sent(std::int32_t tokens, time_point now) {
   outstanding_ += tokens;
-  since_report_ += tokens;
   ++requests_;
-  ++requests_since_report_;
+  unreported_.push_back({now, tokens});
+  unreported_tokens_ += tokens;
+  if (unreported_.size() > most_unreported) {
+    forget_reported(unreported_.front().at);
+  }
+}
+
+void endpoint_estimate::forget_reported(time_point until) {
+  while (!unreported_.empty() && unreported_.front().at <= until) {
+    unreported_tokens_ -= unreported_.front().tokens;
+    unreported_.pop_front();
+  }
 }
 
 void endpoint_estimate::ended(std::int32_t tokens) {
   outstanding_ = std::max<std::int64_t>(0, outstanding_ - tokens);
   requests_ = std::max(0, requests_ - 1);
+  const auto same = std::find_if(
+      unreported_.begin(), unreported_.end(),
+      [tokens](const sending& each) { return each.tokens == tokens; });
+  if (same == unreported_.end()) return;
+  unreported_tokens_ -= tokens;
+  unreported_.erase(same);
 }
 
 void endpoint_estimate::failed(const suspension_limits& limits,
@@ -79,9 +96,11 @@
   const duration left = std::max(duration::zero(), reported - age);
   if (role_ == endpoint_role::prefill) {
     const duration own = time_of(static_cast<double>(outstanding_));
-    return std::max(left + time_of(static_cast<double>(since_report_)), own);
+    const auto newer = static_cast<double>(unreported_tokens_);
+    return std::max(left + time_of(newer), own);
   }
-  const std::int32_t free = load_.pieces_free - requests_since_report_;
+  const auto newer = static_cast<std::int32_t>(unreported_.size());
+  const std::int32_t free = load_.pieces_free - newer;
   if (load_.pieces_total == 0 || free > 0) return left;
   return std::max(left, from_microseconds(load_.token_interval_us));
 }
@@ -92,7 +111,13 @@
   if (role_ == endpoint_role::plain) return duration::zero();
   const duration reported = from_microseconds(load_.token_interval_us);
   const bool known = reported > duration::zero();
-  return (known ? reported : assumed_token_interval) * max_tokens;
+  const duration interval = known ? reported : assumed_token_interval;
+  // What the report does not tell of makes the batch larger.
+  const auto newer = static_cast<double>(unreported_.size());
+  const double growth = 1 + newer / (1.0 + load_.running);
+  const double run =
+      static_cast<double>(interval.count()) * growth * max_tokens;
+  return duration(static_cast<duration::rep>(run));
 }
 
 double endpoint_estimate::tokens_per_second() const {
--- a/src/policy/endpoint_estimate.h
+++ b/src/policy/endpoint_estimate.h
@@ -3,6 +3,7 @@
 #define CITRONWHARF_POLICY_ENDPOINT_ESTIMATE_H_
 
 #include <cstdint>
+#include <deque>
 
 #include "base/clock.h"
 #include "citronwharf/configuration.h"
@@ -20,12 +21,14 @@
 /// clock of its own. One thread.
 class endpoint_estimate {
  public:
-  explicit endpoint_estimate(endpoint_role role) : role_(role) {}
+  /// Reports tell of the endpoint as it was up to `lag` before they came.
+  endpoint_estimate(endpoint_role role, duration lag)
+      : role_(role), lag_(lag) {}
 
   void set_role(endpoint_role role) { role_ = role; }
   /// Takes a load report; a new incarnation starts without outstanding work.
   void observe(const endpoint_load& load, time_point now);
-  void sent(std::int32_t tokens);
+  void sent(std::int32_t tokens, time_point now);
   void ended(std::int32_t tokens);
   void set_reachable(bool up) { reachable_ = up; }
   void failed(const suspension_limits& limits, time_point now);
@@ -46,17 +49,24 @@
                          std::int32_t max_tokens) const;
 
  private:
+  struct sending {
+    time_point at;
+    std::int32_t tokens = 0;
+  };
+
+  void forget_reported(time_point until);
   double tokens_per_second() const;
   duration time_of(double tokens) const;
 
   endpoint_role role_;
+  duration lag_;
   endpoint_load load_;
   time_point observed_at_{};
-  double measured_speed_ = 0;     // tokens per second, 0: not known
-  std::int64_t outstanding_ = 0;  // tokens sent and not ended
-  std::int32_t requests_ = 0;     // requests sent and not ended
-  std::int64_t since_report_ = 0;
-  std::int32_t requests_since_report_ = 0;
+  double measured_speed_ = 0;       // tokens per second, 0: not known
+  std::int64_t outstanding_ = 0;    // tokens sent and not ended
+  std::int32_t requests_ = 0;       // requests sent and not ended
+  std::deque<sending> unreported_;  // what the report may not tell of
+  std::int64_t unreported_tokens_ = 0;
   bool reachable_ = true;
   std::int32_t failures_ = 0;  // in a row
   time_point suspended_until_{};
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -118,7 +118,8 @@
   known_endpoint known(const endpoint& each) const {
     const auto found = endpoints_.find(each.name);
     if (found == endpoints_.end()) {
-      return {endpoint_estimate(each.role), each.failure_domain};
+      return {endpoint_estimate(each.role, options_.report_lag),
+              each.failure_domain};
     }
     known_endpoint same = found->second;
     same.estimate.set_role(each.role);
@@ -237,8 +238,8 @@
 }
 
 void placement::sent(const std::string& endpoint, std::int32_t tokens,
-                     time_point /*now*/) {
-  if (auto* known = impl_->find(endpoint)) known->sent(tokens);
+                     time_point now) {
+  if (auto* known = impl_->find(endpoint)) known->sent(tokens, now);
 }
 
 void placement::ended(const std::string& endpoint, std::int32_t tokens,
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -28,6 +28,7 @@
   std::string failure_domain;
   std::size_t subset = 16;  ///< endpoints of a pool that one entry uses
   std::string entry;        ///< process name, seeds the subset
+  duration report_lag = milliseconds(200);  ///< of load on replies
   duration first_suspension = milliseconds(200);
   duration longest_suspension = seconds(10);
   std::uint64_t seed = 1;
