--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -114,6 +114,7 @@
   std::int32_t slow_gaps = 0;
   int tries = 0;
   bool over = false;
+  bool late = false;  // no time was left when it reached the endpoint
   std::vector<std::string> excluded;
 
   std::int32_t pieces() const {
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -7,6 +7,7 @@
 #include <queue>
 #include <utility>
 
+#include "policy/fair_share.h"
 #include "policy_model.h"
 
 namespace citronwharf::bench {
@@ -97,6 +98,7 @@
       if (way_.oracle) options.report_lag = duration::zero();
       options.seed = what_.seed + std::uint64_t(i);
       entries_.emplace_back(options);
+      shares_.emplace_back(fair_share_options{});
       entries_.back().configure(all);
     }
     for (const double weight : organisation_weights()) {
@@ -191,9 +193,17 @@
       ++result_.offered;
       ++result_.organisations[std::size_t(r.organisation)].offered;
     }
+    const double weight = organisation_weights()[std::size_t(r.organisation)];
+    const auto share = shares_of(r).offer(fmt::format("o{}", r.organisation),
+                                          weight, r.pieces(), now_);
+    if (way_.fair && !share.admitted) return refuse(id);
     reserve(id);
   }
 
+  fair_share& shares_of(const request& r) {
+    return shares_[way_.oracle ? 0 : std::size_t(r.entry)];
+  }
+
   // Entry: asks a decode endpoint for memory by the end of the prefill.
   void reserve(id_type id) {
     request& r = of(id);
@@ -219,8 +229,8 @@
     const time_point latest = r.target() - r.ready_in;
     const queue_item item = item_of(id, r.pieces(), latest);
     const auto decided = d.admits.decide(d.desk, item, latest - now_);
-    const bool late = latest <= now_;
-    if (d.leaving || late || !decided.admitted || !d.desk.push(item).ok()) {
+    r.late = latest <= now_;
+    if (d.leaving || r.late || !decided.admitted || !d.desk.push(item).ok()) {
       hop([this, id] { elsewhere(id); });
       return;
     }
@@ -235,6 +245,7 @@
     entry_of(r).ended(d.name, r.max_tokens, now_);
     r.excluded.push_back(d.name);
     r.decode = -1;
+    if (!r.late) shares_of(r).outcome(false, now_);
     if (++r.tries >= most_tries) return refuse(id);
     reserve(id);
   }
@@ -274,6 +285,7 @@
   void granted(id_type id) {
     request& r = of(id);
     placement& by = entry_of(r);
+    shares_of(r).outcome(true, now_);
     reply(r, decode_of(r));
     look_everywhere(by);
     placement_query asked = query_of(r, "prefill");
@@ -513,6 +525,7 @@
   std::vector<prefill_endpoint> prefill_;
   std::vector<decode_endpoint> decode_;
   std::vector<placement> entries_;
+  std::vector<fair_share> shares_;  // one an entry
   bool lost_noticed_ = false;
   result result_;
 };
