--- a/test/memory_disk.h
+++ b/test/memory_disk.h
@@ -20,6 +20,8 @@
   struct file {
     std::string durable;
     std::string current;  // appended to `durable`
+    // A sync failed: later ones succeed and make nothing durable.
+    bool sync_failed = false;
   };
   /// Called before a step with its name; an error fails the step.
   std::function<absl::Status(const std::string& step)> fault;
