--- a/src/control/member_joiner.cc
+++ b/src/control/member_joiner.cc
@@ -12,21 +12,21 @@
 
 }  // namespace
 
-member_joiner::member_joiner(process_context& process, replicated_log& log,
+member_joiner::member_joiner(peer_hub& peers, replicated_log& log,
                              std::string id, std::function<void()> on_change)
-    : process_(process),
+    : peers_(peers),
       log_(log),
       id_(std::move(id)),
       on_change_(std::move(on_change)),
       alive_(std::make_shared<bool>(true)) {
-  process_.peers.on<member_probe>(
+  peers_.on<member_probe>(
       [this, alive = alive_](const peer_id& from, const member_probe&) {
         if (*alive) {
           const member_identity out{id_, log_.state().group};
-          process_.peers.send(from.name, make_frame(out)).IgnoreError();
+          peers_.send(from.name, make_frame(out)).IgnoreError();
         }
       });
-  process_.peers.on<member_identity>(
+  peers_.on<member_identity>(
       [this, alive = alive_](const peer_id& from, const member_identity& in) {
         if (*alive) {
           on_identity(from.name, in);
@@ -54,7 +54,7 @@
   done_ = std::move(done);
   next_probe_ = runtime_clock::now();
   deadline_ = next_probe_ + identity_timeout;
-  process_.peers.connect(process, address);
+  peers_.connect(process, address);
 }
 
 void member_joiner::on_identity(const std::string& process,
@@ -99,7 +99,7 @@
   if (now >= next_probe_) {
     next_probe_ = now + probe_interval;
     const member_probe out{log_.state().group};
-    process_.peers.send(joining_.process, make_frame(out)).IgnoreError();
+    peers_.send(joining_.process, make_frame(out)).IgnoreError();
   }
 }
 
--- a/src/control/member_joiner.h
+++ b/src/control/member_joiner.h
@@ -9,17 +9,17 @@
 #include <memory>
 #include <string>
 
-#include "base/process_context.h"
 #include "control/replicated_log.h"
+#include "net/peer_hub.h"
 
 namespace citronwharf {
 
-/// One addition at a time. Loop's thread only. Preconditions: `process` and
+/// One addition at a time. Loop's thread only. Preconditions: `peers` and
 /// `log` outlive it.
 class member_joiner {
  public:
   /// `on_change` is called when the log was given an event.
-  member_joiner(process_context& process, replicated_log& log, std::string id,
+  member_joiner(peer_hub& peers, replicated_log& log, std::string id,
                 std::function<void()> on_change);
   ~member_joiner();
   member_joiner(const member_joiner&) = delete;
@@ -36,7 +36,7 @@
   void on_identity(const std::string& process, const member_identity& in);
   void end(const absl::Status& outcome);
 
-  process_context& process_;
+  peer_hub& peers_;
   replicated_log& log_;
   std::string id_;
   std::function<void()> on_change_;
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -40,10 +40,10 @@
 
 class disk_replica final : public replica {
  public:
-  disk_replica(process_context& process, machines machines)
-      : process_(process),
+  disk_replica(replica_environment environment, machines machines)
+      : environment_(std::move(environment)),
         machines_(std::move(machines)),
-        timer_(process.loop),
+        timer_(environment_.loop),
         alive_(std::make_shared<bool>(true)) {}
 
   ~disk_replica() override {
@@ -82,7 +82,7 @@
   void notify();
   time_point now() const { return runtime_clock::now(); }
 
-  process_context& process_;
+  replica_environment environment_;
   machines machines_;
   runtime_timer timer_;
   std::optional<data_folder> folder_;
@@ -96,6 +96,7 @@
   bool write_inline_ = false;  // while a group is made
   log_role known_role_ = log_role::outside;
   std::uint64_t known_term_ = 0;
+  std::vector<replica_member> known_members_;
   // Shared with callbacks that may come after the replica is gone.
   std::shared_ptr<bool> alive_;
   // Syncs take milliseconds, which the loop must not wait for.
@@ -104,7 +105,7 @@
 
 template <typename Message>
 void disk_replica::listen_for() {
-  process_.peers.on<Message>(
+  environment_.peers.on<Message>(
       [this, alive = alive_](const peer_id& from, const Message& in) {
         if (*alive) {
           log_->receive(now(), from.name, log_message(in));
@@ -114,8 +115,9 @@
 }
 
 absl::Status disk_replica::open() {
-  auto folder = open_data_folder(real_disk(), process_.options.data_folder,
-                                 process_.options.deployment, draw_replica_id);
+  auto folder =
+      open_data_folder(environment_.disk, environment_.options.data_folder,
+                       environment_.options.deployment, draw_replica_id);
   if (!folder.ok()) {
     return folder.status();
   }
@@ -125,8 +127,8 @@
   }
   replicated_log_options options;
   options.id = folder_->identity.replica;
-  options.process = process_.options.process;
-  options.address = process_.options.listen.peers;
+  options.process = environment_.options.process;
+  options.address = environment_.options.listen.peers;
   std::random_device seed;
   log_.emplace(options, std::mt19937_64(seed()), folder_->log->take_restored(),
                now());
@@ -138,8 +140,8 @@
   listen_for<append_reply>();
   listen_for<snapshot_request>();
   listen_for<snapshot_reply>();
-  joiner_ = std::make_unique<member_joiner>(process_, *log_, options.id,
-                                            [this] { schedule_pump(); });
+  joiner_ = std::make_unique<member_joiner>(
+      environment_.peers, *log_, options.id, [this] { schedule_pump(); });
   pump();
   return absl::OkStatus();
 }
@@ -231,7 +233,7 @@
     return;
   }
   pump_scheduled_ = true;
-  boost::asio::post(process_.loop, [this, alive = alive_] {
+  boost::asio::post(environment_.loop, [this, alive = alive_] {
     if (*alive) {
       pump();
     }
@@ -254,7 +256,7 @@
   const auto since_snapshot =
       static_cast<std::int64_t>(log_->applied_index() - log_->snapshot_index());
   if (log_->fault().empty() &&
-      since_snapshot >= process_.options.control.snapshot_entries) {
+      since_snapshot >= environment_.options.control.snapshot_entries) {
     take_snapshot().IgnoreError();
   }
   arm_timer();
@@ -290,7 +292,8 @@
   std::visit(
       [&](const auto& message) {
         // A message that can't be sent is a lost one; the log resends.
-        process_.peers.send(action.process, make_frame(message)).IgnoreError();
+        environment_.peers.send(action.process, make_frame(message))
+            .IgnoreError();
       },
       action.message);
 }
@@ -303,7 +306,7 @@
   }
   // The destructor joins the disk's thread before the storage goes.
   boost::asio::post(disk_thread_, [this, storage = folder_->log.get(),
-                                   alive = alive_, &loop = process_.loop,
+                                   alive = alive_, &loop = environment_.loop,
                                    batch = std::move(action.batch)] {
     absl::Status written = storage->write(batch);
     boost::asio::post(loop, [this, alive, sequence = batch.sequence, written] {
@@ -356,12 +359,16 @@
 }
 
 void disk_replica::perform(members_action& action) {
+  if (action.members == known_members_) {
+    return;
+  }
+  known_members_ = action.members;
   std::string text;
   for (const replica_member& member : action.members) {
     text += fmt::format("{}{} {} {}", text.empty() ? "" : ", ", member.process,
                         member.id, member.voter ? "voter" : "learner");
-    if (member.process != process_.options.process) {
-      process_.peers.connect(member.process, member.address);
+    if (member.process != environment_.options.process) {
+      environment_.peers.connect(member.process, member.address);
     }
   }
   log_event(events::members_changed, text);
@@ -421,9 +428,17 @@
 
 }  // namespace
 
+std::unique_ptr<replica> make_replica(replica_environment environment,
+                                      replica::machines machines) {
+  return std::make_unique<disk_replica>(std::move(environment),
+                                        std::move(machines));
+}
+
 std::unique_ptr<replica> make_replica(process_context& process,
                                       replica::machines machines) {
-  return std::make_unique<disk_replica>(process, std::move(machines));
+  return make_replica(replica_environment{process.loop, process.options,
+                                          process.peers, real_disk()},
+                      std::move(machines));
 }
 
 }  // namespace citronwharf
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/process_context.h"
+#include "control/disk.h"
 #include "control/state_machine.h"
 #include "wire/log_messages.h"
 
@@ -88,6 +89,18 @@
   virtual void subscribe(std::function<void()> on_change) = 0;
 };
 
+/// What a replica works with. All of it outlives the replica.
+struct replica_environment {
+  boost::asio::io_context& loop;
+  const settings& options;  ///< process, deployment, data_folder, addresses
+  peer_hub& peers;
+  disk_operations disk;
+};
+
+/// Makes a replica. Precondition: the environment and the machines outlive it.
+std::unique_ptr<replica> make_replica(replica_environment environment,
+                                      replica::machines machines);
+
 /// Makes a replica over the process's data folder. Preconditions: `process`
 /// and the machines outlive it.
 std::unique_ptr<replica> make_replica(process_context& process,
