--- a/src/control/admin_api.cc
+++ b/src/control/admin_api.cc
@@ -138,7 +138,8 @@
   }
 }
 
-void admin_api::change(configuration_command command, const done& answer) {
+void admin_api::change(const configuration_command& command,
+                       const done& answer) {
   if (command.operation.empty()) {
     answer(admin_error(400, "malformed", "needs an operation identifier"));
     return;
@@ -179,7 +180,7 @@
     answer(admin_error(400, "malformed", "needs the base version"));
     return;
   }
-  change(*std::move(command), answer);
+  change(*command, answer);
 }
 
 void admin_api::diff(const json& body, const done& answer) {
@@ -202,7 +203,7 @@
   command->partial = true;
   command->create = true;
   command->document = {{"keys", {*key}}};
-  change(*std::move(command), answer);
+  change(*command, answer);
 }
 
 void admin_api::withdraw_key(const std::string& id, const json& body,
@@ -215,7 +216,7 @@
   command->partial = true;
   command->update = true;
   command->document = {{"keys", {{{"id", id}, {"withdrawn", true}}}}};
-  change(*std::move(command), answer);
+  change(*command, answer);
 }
 
 void admin_api::drain_endpoint(const std::string& name, const json& body,
@@ -230,7 +231,7 @@
   command->update = true;
   command->document = {
       {"endpoints", {{{"name", name}, {"draining", draining}}}}};
-  change(*std::move(command), answer);
+  change(*command, answer);
 }
 
 void admin_api::add_replica(const json& body, const done& answer) {
--- a/src/control/admin_api.h
+++ b/src/control/admin_api.h
@@ -49,7 +49,7 @@
   void handle(const admin_request& request, const done& answer);
 
  private:
-  void change(configuration_command command, const done& answer);
+  void change(const configuration_command& command, const done& answer);
   void read(const std::function<nlohmann::json()>& make, const done& answer);
   void apply(const nlohmann::json& body, const done& answer);
   void diff(const nlohmann::json& body, const done& answer);
--- a/src/control/check_document.cc
+++ b/src/control/check_document.cc
@@ -136,7 +136,7 @@
     return;
   }
   for (const auto& [name, value] : item.items()) {
-    const std::string place = pointer + "/" + name;
+    const std::string place = fmt::format("{}/{}", pointer, name);
     const auto member = std::find_if(
         members.begin(), members.end(),
         [&key = name](const document_member& in) { return in.name == key; });
@@ -173,7 +173,7 @@
       out.push_back({pointer, fmt::format("needs {}", name)});
     } else if (item.at(name).is_string() &&
                !seen.insert(item.at(name).get<std::string>()).second) {
-      out.push_back({pointer + "/" + name, "is given twice"});
+      out.push_back({fmt::format("{}/{}", pointer, name), "is given twice"});
     }
   }
 }
--- a/src/control/configuration_document.cc
+++ b/src/control/configuration_document.cc
@@ -1,7 +1,8 @@
 #include "control/configuration_document.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -74,6 +75,26 @@
   }
 }
 
+// Draining is ordered by `endpoint drain`; a document that says nothing of it
+// leaves it as it is.
+void keep_draining(const std::vector<endpoint>& before, const json& document,
+                   std::vector<endpoint>& items) {
+  std::set<std::string> draining;
+  for (const endpoint& in : before) {
+    if (in.draining) {
+      draining.insert(in.name);
+    }
+  }
+  for (const json& item : document.value("endpoints", json::array())) {
+    if (item.contains("draining")) {
+      draining.erase(item.at("name").get<std::string>());
+    }
+  }
+  for (endpoint& in : items) {
+    in.draining = in.draining || draining.count(in.name) != 0;
+  }
+}
+
 }  // namespace
 
 configuration merge_document(const configuration& base, const json& document,
@@ -93,6 +114,9 @@
       merge_items(items, document.at(list), name_member(list));
     }
   });
+  if (mode == document_mode::whole) {
+    keep_draining(base.endpoints, document, out.endpoints);
+  }
   return out;
 }
 
--- a/src/control/configuration_document.h
+++ b/src/control/configuration_document.h
@@ -11,7 +11,8 @@
 namespace citronwharf {
 
 /// How a document is read. A whole one replaces every list, but for keys when
-/// it has none. A partial one merges items by name, and removes those listed
+/// it has none, and for the draining of endpoints that it does not name. A
+/// partial one merges items by name, and removes those listed
 /// below "remove", as in {"remove": {"routes": ["old"]}}.
 enum class document_mode { whole, partial };
 
--- a/test/configuration_machine-test.cc
+++ b/test/configuration_machine-test.cc
@@ -187,6 +187,20 @@
   BOOST_TEST(sample.machine->current().keys.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_whole_document_undoes_a_drain_only_by_name) {
+  for (const bool named : {false, true}) {
+    sample_machine sample;
+    sample.run(unconditional(
+        "d", {{"endpoints", {{{"name", "p2"}, {"draining", true}}}}}, false));
+    json document = good_document();
+    if (named) {
+      document["endpoints"][2]["draining"] = false;
+    }
+    sample.run(apply_command("w", 2, document));
+    BOOST_TEST(sample.machine->current().endpoints[2].draining == !named);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(keys_are_made_once_and_withdrawn_for_good) {
   sample_machine sample;
   const auto outcome = [&](const json& command) {
