--- /dev/null
+++ b/test/distribution-test.cc
@@ -0,0 +1,198 @@
+// Distribution over real sessions: deltas, snapshots, freshness leases, and
+// versions that never go back.
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "configuration-samples.h"
+#include "control-node.h"
+#include "run-until.h"
+
+using namespace citronwharf;        // NOLINT(google-build-using-namespace)
+using namespace citronwharf::test;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+json first_command() {
+  json command = apply_command("first", 0, good_document());
+  command["kind"] = configuration_command::kind;
+  return command;
+}
+
+// Three replicas and a process that follows them.
+struct group_fixture {
+  group_fixture() {
+    make_group(nodes);
+    commit_everywhere(first_command());
+    watch(*follower);
+    follower->follow();
+  }
+
+  void commit_everywhere(const json& command) {
+    for (control_node* node : nodes) {
+      node->commit(command);
+    }
+  }
+  void change_everywhere(int times) {
+    for (int n = 0; n < times; ++n) {
+      const std::uint64_t version = a.machine.current().version;
+      commit_everywhere(weight_command(version, version + 1.0));
+    }
+  }
+  // Notes every version that the process holds, in turn.
+  void watch(process_node& process) {
+    process.view().subscribe([this](const configuration& taken) {
+      monotone = monotone && taken.version > last_version;
+      last_version = taken.version;
+    });
+  }
+  bool reaches(std::uint64_t version) {
+    return run_until(loop, [&] { return follower->version() == version; });
+  }
+  bool becomes_fresh() {
+    return run_until(loop, [&] { return follower->fresh(); });
+  }
+
+  boost::asio::io_context loop;
+  control_node a{loop, "a"};
+  control_node b{loop, "b"};
+  control_node c{loop, "c"};
+  std::vector<control_node*> nodes{&a, &b, &c};
+  // All but one seed are learned from the members.
+  std::unique_ptr<process_node> follower = std::make_unique<process_node>(
+      loop, "e1", std::vector<std::string>{a.process.address()});
+  bool monotone = true;
+  std::uint64_t last_version = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(changes_reach_a_process_by_deltas_and_snapshots) {
+  group_fixture group;
+  BOOST_TEST(!group.follower->fresh());
+  BOOST_REQUIRE(group.becomes_fresh());
+  BOOST_TEST(group.follower->version() == 1U);
+  // 1 and 150 travel as deltas, 500 as a snapshot.
+  for (const int changes : {1, 150, 500}) {
+    group.change_everywhere(changes);
+    const std::uint64_t version = group.a.machine.current().version;
+    BOOST_REQUIRE(group.reaches(version));
+    BOOST_TEST(
+        (*group.follower->view().current() == group.a.machine.current()));
+  }
+  BOOST_TEST(group.monotone);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_restarts_after_500_changes_catches_up) {
+  group_fixture group;
+  BOOST_REQUIRE(group.becomes_fresh());
+  group.follower.reset();
+  group.change_everywhere(500);
+  group.follower = std::make_unique<process_node>(
+      group.loop, "e1", std::vector<std::string>{group.b.process.address()});
+  group.last_version = 0;
+  group.watch(*group.follower);
+  group.follower->follow();
+  // Nothing is served before a fresh version is held.
+  BOOST_TEST(!group.follower->fresh());
+  BOOST_REQUIRE(group.becomes_fresh());
+  BOOST_TEST(group.follower->version() == 501U);
+}
+
+BOOST_AUTO_TEST_CASE(a_large_configuration_travels_in_parts) {
+  group_fixture group;
+  BOOST_REQUIRE(group.becomes_fresh());
+  json many = json::array();
+  for (int n = 0; n < 14'000; ++n) {
+    many.push_back(
+        {{"name", fmt::format("organisation-{}", n)},
+         {"limit", {{"tokens_per_second", 10}, {"burst_tokens", 100}}}});
+  }
+  json command = apply_command("many", 1, {{"organisations", many}}, true);
+  command["kind"] = configuration_command::kind;
+  group.commit_everywhere(command);
+  group.change_everywhere(300);
+  BOOST_REQUIRE(group.reaches(302));
+  BOOST_TEST((*group.follower->view().current() == group.a.machine.current()));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_lags_moves_no_process_back) {
+  group_fixture group;
+  BOOST_REQUIRE(group.becomes_fresh());
+  // Only a majority takes the changes; c stays behind, and answers all along.
+  for (int n = 0; n < 20; ++n) {
+    const std::uint64_t version = group.a.machine.current().version;
+    group.a.commit(weight_command(version, n + 7.0));
+    group.b.commit(weight_command(version, n + 7.0));
+    BOOST_REQUIRE(group.reaches(version + 1));
+  }
+  BOOST_REQUIRE(group.becomes_fresh());
+  BOOST_TEST(group.monotone);
+}
+
+BOOST_AUTO_TEST_CASE(what_ends_freshness_within_the_lease) {
+  struct fault_case {
+    const char* name;
+    std::function<void(group_fixture&)> fault;
+    bool fresh_afterwards;
+  };
+  const std::vector<fault_case> cases{
+      {"the process is cut off",
+       [](group_fixture& group) { group.follower->cut_off(); }, false},
+      {"two of three replicas are gone",
+       [](group_fixture& group) {
+         group.b.process.cut_off();
+         group.c.process.cut_off();
+       },
+       false},
+      {"one of three replicas is gone",
+       [](group_fixture& group) { group.c.process.cut_off(); }, true},
+      // A withdrawal that the reachable replicas hold but have not applied.
+      {"a majority synced a newer version",
+       [](group_fixture& group) {
+         group.a.log.sync(weight_command(1, 9));
+         group.b.log.sync(weight_command(1, 9));
+       },
+       false},
+      {"a minority synced a newer version",
+       [](group_fixture& group) { group.a.log.sync(weight_command(1, 9)); },
+       true},
+      // The leader's side committed; the process reaches one replica of that
+      // majority, which has not applied it.
+      {"a newer version at the only replica in reach of the majority",
+       [](group_fixture& group) {
+         group.a.log.sync(weight_command(1, 9));
+         group.b.process.cut_off();
+       },
+       false}};
+  for (const fault_case& each : cases) {
+    BOOST_TEST_CONTEXT(each.name) {
+      group_fixture group;
+      BOOST_REQUIRE(group.becomes_fresh());
+      each.fault(group);
+      const time_point begin = runtime_clock::now();
+      // 5 s is the bound of "within seconds".
+      const bool ended =
+          run_until(group.loop,
+                    [&] {
+                      return !group.follower->fresh() ||
+                             runtime_clock::now() > begin + seconds(5);
+                    }) &&
+          !group.follower->fresh();
+      BOOST_TEST(ended != each.fresh_afterwards);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(commands_of_other_kinds_do_not_end_freshness) {
+  group_fixture group;
+  BOOST_REQUIRE(group.becomes_fresh());
+  for (control_node* node : group.nodes) {
+    node->log.sync({{"kind", "claims"}});
+  }
+  const time_point begin = runtime_clock::now();
+  BOOST_TEST(run_until(group.loop, [&] {
+    return group.follower->view().fresh_until() > begin + seconds(4);
+  }));
+}
