--- a/src/endpoint/decode_door.cc
+++ b/src/endpoint/decode_door.cc
@@ -15,6 +15,11 @@
 /// Life of a stream whose deadline an earlier process knew.
 constexpr duration longest_taken_over = seconds(60);
 
+/// Tokens that need memory; those that the caller has are in the prompt.
+std::int32_t tokens_of(const decode_request& request) {
+  return request.prompt_tokens + request.max_tokens - request.offset;
+}
+
 }  // namespace
 
 decode_door::decode_door(door_parts& parts, reservation_desk& desk)
@@ -37,8 +42,7 @@
   }
   const time_point now = runtime_clock::now();
   stream& one = streams_.emplace(key, stream(request)).first->second;
-  one.pieces =
-      pieces_for(parts_.info, request.prompt_tokens + request.max_tokens);
+  one.pieces = pieces_for(parts_.info, tokens_of(request));
   one.export_until = now + from_microseconds(request.expires_in_us);
   one.deadline = now + from_microseconds(request.header.deadline_us);
   one.hop = parts_.traces.start_remote("transfer", request.header.traceparent);
@@ -59,8 +63,7 @@
   if (parts_.info.incarnation == 0) {
     return failure_reason::engine_refused;
   }
-  if (pieces_for(parts_.info, request.prompt_tokens + request.max_tokens) >
-      parts_.info.pieces_total) {
+  if (pieces_for(parts_.info, tokens_of(request)) > parts_.info.pieces_total) {
     return failure_reason::too_large;
   }
   return parts_.held.begin(header.key, runtime_clock::now());
--- a/src/fake/engine_decode.cc
+++ b/src/fake/engine_decode.cc
@@ -36,7 +36,8 @@
   one.generated = body.value("offset", 0);
   one.order = ++arrivals;
   one.state = job_state::importing;
-  const std::int32_t tokens = one.prompt_tokens + one.max_tokens;
+  const std::int32_t tokens =
+      one.prompt_tokens + one.max_tokens - one.generated;
   const std::int32_t wanted =
       (tokens + options.piece_tokens - 1) / options.piece_tokens;
   if (!pieces.take(one, wanted)) {
@@ -84,7 +85,7 @@
     forget(id);
     return;
   }
-  one->prompt = meta->value("prompt", "");
+  one->prompt = base_prompt(meta->value("prompt", ""), one->generated);
   one->state = job_state::running;
   const duration took = runtime_clock::now() - started;
   exchange->respond(json_response(
--- a/src/fake/tokens.cc
+++ b/src/fake/tokens.cc
@@ -30,4 +30,14 @@
   return answer;
 }
 
+std::string base_prompt(const std::string& text, std::int32_t tokens) {
+  // The length of an answer does not depend on its prompt.
+  const std::size_t tail = fake_answer("", tokens).size();
+  if (tail > text.size()) {
+    return text;
+  }
+  const std::string base = text.substr(0, text.size() - tail);
+  return base + fake_answer(base, tokens) == text ? base : text;
+}
+
 }  // namespace citronwharf::fake
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -28,7 +28,7 @@
         handlers_(std::move(handlers)),
         socket_(loop),
         timer_(loop) {
-    parser_.eager(true);
+    parser_.eager(false);
     parser_.body_limit(options_.max_body_bytes);
   }
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -199,3 +199,22 @@
   BOOST_REQUIRE(run_until(loop, [&] { return failed; }));
   BOOST_TEST(!sent);
 }
+
+BOOST_AUTO_TEST_CASE(parts_of_a_stream_arrive_while_it_lasts) {
+  boost::asio::io_context loop;
+  std::unique_ptr<http_exchange> open;
+  http_server server(
+      loop, {}, [&](const http_request&, std::unique_ptr<http_exchange> got) {
+        open = std::move(got);
+        open->start_stream({200, {}, ""});
+        open->write("first");
+      });
+  http_call_options options;
+  options.address = fmt::format("127.0.0.1:{}", server.listen().value());
+  std::string body;
+  http_call_handlers handlers;
+  handlers.on_body = [&](const std::string& data) { body += data; };
+  const auto call =
+      start_http_call(loop, options, {"GET", "/", {}, "", ""}, handlers);
+  BOOST_TEST(run_until(loop, [&] { return body == "first"; }));
+}
