--- a/src/endpoint/decode_door.cc
+++ b/src/endpoint/decode_door.cc
@@ -12,6 +12,8 @@
 /// Between two tries of a transfer or of a broken engine stream.
 constexpr duration retry_wait = milliseconds(10);
 constexpr int max_reattached = 3;
+/// The engine doesn't know the request any more.
+constexpr int status_unknown = 404;
 /// Life of a stream whose deadline an earlier process knew.
 constexpr duration longest_taken_over = seconds(60);
 
@@ -176,8 +178,7 @@
     finish(one, failure_reason::none, true);
     return;
   }
-  if (++one.reattached > max_reattached ||
-      error.reason == failure_reason::engine_refused) {
+  if (++one.reattached > max_reattached || error.status == status_unknown) {
     finish(one, failure_reason::engine_lost, true);
     return;
   }
@@ -208,6 +209,7 @@
     return;
   }
   // The memory is free once the engine says so.
+  desk_.releasing(key, runtime_clock::now());
   parts_.engine.cancel(to_string(key), [this, key] { desk_.release(key); });
 }
 
@@ -306,6 +308,9 @@
     if (now >= one.deadline) {
       one.call.reset();
       finish(one, failure_reason::deadline, true);
+    } else if (one.state == stream_state::cancelling &&
+               now >= one.export_until) {
+      finish(one, failure_reason::transfer_failed, true);
     } else if (one.state == stream_state::waiting && now >= one.again_at) {
       import(one);
     } else if (one.state == stream_state::running && !one.call &&
--- a/src/endpoint/reservation_desk.cc
+++ b/src/endpoint/reservation_desk.cc
@@ -142,6 +142,12 @@
   }
 }
 
+void reservation_desk::releasing(const attempt_key& key, time_point now) {
+  if (book_) {
+    book_->predict(key, now);
+  }
+}
+
 void reservation_desk::remove(const attempt_key& key) {
   const auto found = waiting_.find(key);
   queue_.erase(found->second.queue_id);
--- a/src/endpoint/reservation_desk.h
+++ b/src/endpoint/reservation_desk.h
@@ -25,6 +25,8 @@
              time_point predicted_release, time_point now);
   /// Frees what the attempt holds or was promised, and serves the queue.
   void release(const attempt_key& key);
+  /// The engine was told to free what the attempt holds.
+  void releasing(const attempt_key& key, time_point now);
   /// Ends a waiting request without a reply; frees a promise.
   void drop(const attempt_key& key);
   void tick(time_point now);
--- a/src/fake/engine_decode.cc
+++ b/src/fake/engine_decode.cc
@@ -59,10 +59,10 @@
     }
   };
   handlers.on_done = [this, id, head, status, started] {
-    end_import(id, *head, *status == 200, started);
+    end_import(id, *head, *status, started);
   };
   handlers.on_failure = [this, id, head, started](const http_failure&) {
-    end_import(id, *head, false, started);
+    end_import(id, *head, 0, started);
   };
   http_call_options call;
   call.address = body.value("from", "");
@@ -72,16 +72,16 @@
 }
 
 void engine::impl::end_import(const std::string& id, const std::string& head,
-                              bool whole, time_point started) {
+                              int status, time_point started) {
   job* one = find(id);
   if (one == nullptr) {
     return;
   }
   exchange_ptr exchange = std::move(one->stream);
   const auto meta = parse_json(head.substr(0, head.find('\n')));
-  if (!whole || !meta.ok()) {
-    const bool gone = meta.ok() && meta->count("error") > 0;
-    refuse(std::move(exchange), gone ? 410 : 502, "the transfer failed");
+  if (status != 200 || !meta.ok()) {
+    refuse(std::move(exchange), status == 410 ? 410 : 502,
+           "the transfer failed");
     forget(id);
     return;
   }
--- a/src/fake/engine_impl.h
+++ b/src/fake/engine_impl.h
@@ -57,7 +57,7 @@
 
   // engine_decode.cc
   void import(const nlohmann::json& body, exchange_ptr exchange);
-  void end_import(const std::string& id, const std::string& head, bool whole,
+  void end_import(const std::string& id, const std::string& head, int status,
                   time_point started);
   void decode(const nlohmann::json& body, exchange_ptr exchange);
   void start_step();
--- a/src/fake/engine_routes.cc
+++ b/src/fake/engine_routes.cc
@@ -43,9 +43,12 @@
       {"/v1/load", "load"},       {"/v1/orders", "order"},
       {"/v1/held", "held"}};
   const auto place = places.find(request.target);
-  const std::string at = place != places.end() ? place->second : "transfer";
-  const bool in_stream = at == "decode";
-  if (in_stream || !strike(at, request, exchange)) {
+  std::string at = starts_with(request.target, export_path) ? "transfer" : "";
+  if (place != places.end()) {
+    at = place->second;
+  }
+  const bool own = at.empty() || at == "decode";  // strikes in the stream
+  if (own || !strike(at, request, exchange)) {
     dispatch(request, std::move(exchange));
   }
 }
--- a/src/fake/service.h
+++ b/src/fake/service.h
@@ -33,6 +33,8 @@
 
   /// Binds and serves. Returns the port.
   absl::StatusOr<std::uint16_t> listen();
+  /// Breaks off every connection, as a killed process would.
+  void close() { server_.close(); }
   void add_fault(const service_fault& fault) { faults_.push_back(fault); }
   /// Returns how often the commit was run.
   std::int32_t executions(const std::string& commit_id) const;
