--- a/src/endpoint/prefill_door.cc
+++ b/src/endpoint/prefill_door.cc
@@ -170,7 +170,8 @@
 
 void prefill_door::tick(time_point now) {
   for (const queue_item& late : queue_.expire(now)) {
-    give_up(by_queue_id_.at(late.id), failure_reason::deadline, false);
+    const attempt_key key = by_queue_id_.at(late.id);
+    give_up(key, failure_reason::deadline, false);
   }
   const auto gone =
       std::remove_if(exports_.begin(), exports_.end(), [&](const auto& one) {
