Endpoint: orders to the engine, refused here when old

An order is carried out only with a token not below any seen and in agreement with a configuration that is fresh; the second holds for a process that has just started and has seen no token.

--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "endpoint/decode_door.h"
 #include "endpoint/engine_watch.h"
+#include "endpoint/order_runner.h"
 #include "endpoint/plain_door.h"
 #include "endpoint/platform_list.h"
 #include "endpoint/prefill_door.h"
@@ -51,6 +54,10 @@
         decode_(parts_, desk_),
         plain_(parts_, process.options.engine.address),
         watch_(process.loop, engine_, watch_handlers()),
+        orders_(
+            process.options.process, engine_,
+            [this](const frame& message) { tell_control(message); },
+            [this](const engine_info& info) { know(info); }),
         timer_(process.loop) {}
 
   absl::Status start() override;
@@ -68,6 +75,8 @@
   void configured(const configuration& next);
   void adopt(const engine_info& info, const std::vector<engine_held>& held);
   void drop(const attempt_key& key);
+  void know(const engine_info& info);
+  void tell_control(const frame& message);
   void leave(leaving_source source, bool leaves);
   void read_platform(time_point now);
   void say_hello(const std::string& entry);
@@ -91,8 +100,11 @@
   decode_door decode_;
   plain_door plain_;
   engine_watch watch_;
+  order_runner orders_;
+  std::set<std::string> sessions_;
   runtime_timer timer_;
   endpoint_role role_ = endpoint_role::plain;
+  std::optional<engine_shape> wanted_;
   bool watching_ = false;
   platform_source platform_;
   time_point platform_read_{};
@@ -109,8 +121,7 @@
     if (info.incarnation != info_.incarnation) {
       log_event(events::engine_restarted, engine_.address());
     }
-    info_ = info;
-    desk_.set_memory(info);
+    know(info);
   };
   handlers.on_load = [this](const engine_load& load) {
     const auto more = load.wasted_tokens - wasted_tokens_;
@@ -178,6 +189,10 @@
           drop(message.key);
         }
       });
+  process_.peers.on<load_turn_reply>(
+      [this](const peer_id&, const load_turn_reply& reply) {
+        orders_.answered(reply);
+      });
   process_.peers.on<holder_claims>([this](const peer_id& from,
                                           const holder_claims& claims) {
     if (from.name == claims.entry && from.incarnation == claims.incarnation) {
@@ -194,9 +209,11 @@
     drop(key);
   }
   if (up) {
+    sessions_.insert(peer.name);
     say_hello(peer.name);
     return;
   }
+  sessions_.erase(peer.name);
   for (door* each : doors()) {
     each->session_lost(peer.name);
   }
@@ -210,6 +227,7 @@
     return;
   }
   role_ = own->role;
+  wanted_ = shape_of(*own);
   leave(leaving_source::configuration, own->draining);
   if (role_ != endpoint_role::plain && !watching_) {
     watching_ = true;
@@ -221,8 +239,7 @@
 void endpoint_process::adopt(const engine_info& info,
                              const std::vector<engine_held>& held) {
   const time_point now = runtime_clock::now();
-  info_ = info;
-  desk_.set_memory(info);
+  know(info);
   for (const engine_held& one : held) {
     const auto key = parse_attempt_key(one.id);
     if (!key) {
@@ -236,6 +253,20 @@
   say_hello_to_all();
 }
 
+void endpoint_process::know(const engine_info& info) {
+  info_ = info;
+  desk_.set_memory(info);
+  orders_.orders().is(
+      {info.role, info.model, info.adapter, info.model_version});
+}
+
+// Any control replica forwards to the leader; entries may be replicas too.
+void endpoint_process::tell_control(const frame& message) {
+  for (const std::string& peer : sessions_) {
+    process_.peers.send(peer, message).IgnoreError();
+  }
+}
+
 void endpoint_process::drop(const attempt_key& key) {
   if (desk_.holds(key)) {
     engine_.cancel(to_string(key), [this, key] { desk_.release(key); });
@@ -322,6 +353,10 @@
     each->tick(now);
   }
   read_platform(now);
+  if (wanted_ && role_ != endpoint_role::plain) {
+    orders_.orders().want(*wanted_, process_.view.fresh(now));
+    orders_.tick(now, !leaving_.leaving());
+  }
   set_gauges();
   if (drained_ && idle()) {
     const auto done = std::exchange(drained_, nullptr);
