--- a/src/endpoint/decode_door.cc
+++ b/src/endpoint/decode_door.cc
@@ -12,9 +12,16 @@
 /// Between two tries of a transfer or of a broken engine stream.
 constexpr duration retry_wait = milliseconds(10);
 constexpr int max_reattached = 3;
+/// The engine doesn't know the request any more.
+constexpr int status_unknown = 404;
 /// Life of a stream whose deadline an earlier process knew.
 constexpr duration longest_taken_over = seconds(60);
 
+/// Tokens that need memory; those that the caller has are in the prompt.
+std::int32_t tokens_of(const decode_request& request) {
+  return request.prompt_tokens + request.max_tokens - request.offset;
+}
+
 }  // namespace
 
 decode_door::decode_door(door_parts& parts, reservation_desk& desk)
@@ -37,8 +44,7 @@
   }
   const time_point now = runtime_clock::now();
   stream& one = streams_.emplace(key, stream(request)).first->second;
-  one.pieces =
-      pieces_for(parts_.info, request.prompt_tokens + request.max_tokens);
+  one.pieces = pieces_for(parts_.info, tokens_of(request));
   one.export_until = now + from_microseconds(request.expires_in_us);
   one.deadline = now + from_microseconds(request.header.deadline_us);
   one.hop = parts_.traces.start_remote("transfer", request.header.traceparent);
@@ -59,8 +65,7 @@
   if (parts_.info.incarnation == 0) {
     return failure_reason::engine_refused;
   }
-  if (pieces_for(parts_.info, request.prompt_tokens + request.max_tokens) >
-      parts_.info.pieces_total) {
+  if (pieces_for(parts_.info, tokens_of(request)) > parts_.info.pieces_total) {
     return failure_reason::too_large;
   }
   return parts_.held.begin(header.key, runtime_clock::now());
@@ -173,8 +178,7 @@
     finish(one, failure_reason::none, true);
     return;
   }
-  if (++one.reattached > max_reattached ||
-      error.reason == failure_reason::engine_refused) {
+  if (++one.reattached > max_reattached || error.status == status_unknown) {
     finish(one, failure_reason::engine_lost, true);
     return;
   }
@@ -205,6 +209,7 @@
     return;
   }
   // The memory is free once the engine says so.
+  desk_.releasing(key, runtime_clock::now());
   parts_.engine.cancel(to_string(key), [this, key] { desk_.release(key); });
 }
 
@@ -303,6 +308,9 @@
     if (now >= one.deadline) {
       one.call.reset();
       finish(one, failure_reason::deadline, true);
+    } else if (one.state == stream_state::cancelling &&
+               now >= one.export_until) {
+      finish(one, failure_reason::transfer_failed, true);
     } else if (one.state == stream_state::waiting && now >= one.again_at) {
       import(one);
     } else if (one.state == stream_state::running && !one.call &&
