A reservation that waits in an endpoint's queue is never given up before its deadline

An endpoint answers a repeat of a waiting reservation only once it is granted, so three silent tries of 5 s said nothing of a fault: requests that callers wait for would have been moved from queue to queue. The reservation is repeated every 5 s until the deadline; a dead process is seen by its session.

--- a/src/entry/request_life.cc
+++ b/src/entry/request_life.cc
@@ -64,7 +64,6 @@
   if (!decodes.empty()) {
     const std::string& chosen = decodes[0].endpoint;
     decode_ = placed{chosen, hooks_.incarnation(chosen), next_key(), false};
-    repeats_ = 0;
     enter(life_stage::reserve, chosen, now + options_.stall_limit);
     send_reserve(now);
     return;
--- a/src/entry/request_life.h
+++ b/src/entry/request_life.h
@@ -38,7 +38,6 @@
   duration longest_wait = milliseconds(1000);
   std::uint32_t most_prefills = 4;  ///< sent for one request
   std::uint32_t most_resumes = 4;   ///< asked of one attempt
-  std::uint32_t most_repeats = 2;   ///< of a reservation without answer
   std::size_t most_crossed = 64;    ///< token frames kept out of order
   std::int32_t most_choices = 3;    ///< endpoints asked in one round
 };
@@ -145,7 +144,6 @@
   std::uint32_t attempts_ = 0;
   std::uint32_t prefills_ = 0;
   std::uint32_t resumes_ = 0;
-  std::uint32_t repeats_ = 0;
   std::uint32_t rounds_ = 0;  ///< of refusals, for the growing wait
   bool ran_ = false;          ///< something ran, or it can't be excluded
   bool generated_ = false;    ///< as ran_, for generation
--- a/src/entry/request_life_events.cc
+++ b/src/entry/request_life_events.cc
@@ -117,16 +117,9 @@
 void request_life::stage_ended(time_point now) {
   switch (stage_) {
     case life_stage::reserve:
-      if (repeats_ < options_.most_repeats) {
-        ++repeats_;
-        stage_wake_ = now + options_.stall_limit;
-        send_reserve(now);  // a repeat gets the first answer
-        return;
-      }
-      report(report_action::kind::failed, decode_.endpoint);
-      excluded_decode_.push_back(decode_.endpoint);
-      release(decode_, true);
-      next_decode(now);
+      // It may wait in the endpoint's queue; a repeat gets the first answer.
+      stage_wake_ = now + options_.stall_limit;
+      send_reserve(now);
       return;
     case life_stage::wait:
       if (decode_.active()) {
--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -55,32 +55,31 @@
 
 void deployment::start_daemon(const std::string& name,
                               const nlohmann::json& settings) {
-  nlohmann::json whole = {{"process", name},
-                          {"deployment", "test"},
-                          {"region", "izmir"},
-                          {"secret_file", secret_file_},
-                          {"port_file", folder_.path() + "/" + name + ".ports"},
-                          {"trace",
-                           {{"file", folder_.path() + "/" + name + ".trace"}}}};
+  nlohmann::json whole = {
+      {"process", name},
+      {"deployment", "test"},
+      {"region", "izmir"},
+      {"secret_file", secret_file_},
+      {"port_file", folder_.path() + "/" + name + ".ports"},
+      {"trace", {{"file", folder_.path() + "/" + name + ".trace"}}}};
   whole.merge_patch(settings);
   const std::string path = folder_.write(name + ".json", whole.dump());
   start_child(name, "citronwharfd", {"--settings=" + path});
-  BOOST_REQUIRE_MESSAGE(address(name, "peers") != "127.0.0.1:0",
-                        name + " did not start: " + folder_.read(name + ".log"));
+  BOOST_REQUIRE_MESSAGE(
+      address(name, "peers") != "127.0.0.1:0",
+      name + " did not start: " + folder_.read(name + ".log"));
 }
 
 void deployment::start_vm(const std::string& name, const std::string& domain) {
-  start_daemon(name,
-               {{"roles", {"control", "entry"}},
-                {"failure_domain", domain},
-                {"operator_token_file", token_file_},
-                {"data_folder", folder_.path() + "/" + name + ".data"},
-                {"control", {{"seeds", addresses("peers")}}}});
+  start_daemon(name, {{"roles", {"control", "entry"}},
+                      {"failure_domain", domain},
+                      {"operator_token_file", token_file_},
+                      {"data_folder", folder_.path() + "/" + name + ".data"},
+                      {"control", {{"seeds", addresses("peers")}}}});
   vms_.push_back(name);
   const command_result joined =
-      vms_.size() == 1
-          ? tool({"replica", "init"})
-          : tool({"replica", "add", name, address(name, "peers")});
+      vms_.size() == 1 ? tool({"replica", "init"})
+                       : tool({"replica", "add", name, address(name, "peers")});
   BOOST_REQUIRE_MESSAGE(joined.code == 0, joined.output);
 }
 
@@ -214,8 +213,10 @@
   request.headers = {{"Authorization", "Bearer " + key},
                      {"Content-Type", "application/json"}};
   request.body = nlohmann::json{
-      {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", stream}}
-                     .dump();
+      {"prompt", prompt},
+      {"max_tokens", max_tokens},
+      {"stream",
+       stream}}.dump();
   return request;
 }
 
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -33,9 +33,7 @@
   void start_endpoints(const program_flags& decode_flags = {});
   /// Starts a process again, with its settings and its former ports.
   void restart(const std::string& process);
-  child_process& process(const std::string& name) {
-    return children_.at(name);
-  }
+  child_process& process(const std::string& name) { return children_.at(name); }
 
   /// Runs the tool against all VMs.
   command_result tool(const std::vector<std::string>& arguments) const;
--- a/test/processes.cc
+++ b/test/processes.cc
@@ -96,7 +96,9 @@
   posix_spawn_file_actions_destroy(&actions);
 }
 
-child_process::~child_process() { kill(); }
+child_process::~child_process() {
+  kill();
+}
 
 child_process::child_process(child_process&& other) noexcept
     : pid_(std::exchange(other.pid_, 0)), exit_code_(other.exit_code_) {}
@@ -130,8 +132,8 @@
     return true;
   }
   pid_ = 0;
-  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
-                                 : signal_base + WTERMSIG(status);
+  exit_code_ =
+      WIFEXITED(status) ? WEXITSTATUS(status) : signal_base + WTERMSIG(status);
   return false;
 }
 
@@ -140,8 +142,7 @@
   return pid_ == 0 ? exit_code_ : -1;
 }
 
-std::uint16_t wait_port(const std::string& port_file,
-                        const std::string& name) {
+std::uint16_t wait_port(const std::string& port_file, const std::string& name) {
   wait_until([&] { return std::filesystem::exists(port_file); });
   const auto ports =
       nlohmann::json::parse(read_file(port_file), nullptr, false);
@@ -149,8 +150,7 @@
                            : std::uint16_t{0};
 }
 
-command_result run_command(const run_folder& folder,
-                           const std::string& program,
+command_result run_command(const run_folder& folder, const std::string& program,
                            const std::vector<std::string>& arguments) {
   static int counter = 0;
   const std::string log = "command-" + std::to_string(++counter) + ".out";
--- a/test/processes.h
+++ b/test/processes.h
@@ -71,8 +71,7 @@
   int code = -1;
   std::string output;
 };
-command_result run_command(const run_folder& folder,
-                           const std::string& program,
+command_result run_command(const run_folder& folder, const std::string& program,
                            const std::vector<std::string>& arguments);
 
 }  // namespace citronwharf::test
