--- a/test/deployment.cc
+++ b/test/deployment.cc
@@ -172,7 +172,11 @@
 void deployment::apply(const nlohmann::json& document) const {
   const std::string path =
       folder_.write("configuration.json", document.dump(2));
-  const command_result applied = tool({"apply", path});
+  const command_result shown = tool({"--json", "show"});
+  BOOST_REQUIRE_MESSAGE(shown.code == 0, shown.output);
+  const auto version = nlohmann::json::parse(shown.output).value("version", 0);
+  const command_result applied =
+      tool({"apply", path, fmt::format("--base={}", version)});
   BOOST_REQUIRE_MESSAGE(applied.code == 0, applied.output);
 }
 
