--- /dev/null
+++ b/test/caller_world.h
@@ -0,0 +1,102 @@
+// An entry over real sockets on loopback, with scripted endpoints as peers.
+#ifndef CITRONWHARF_TEST_CALLER_WORLD_H_
+#define CITRONWHARF_TEST_CALLER_WORLD_H_
+
+#include <absl/status/statusor.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/process_context.h"
+#include "net/http_client.h"
+#include "net/peer_hub.h"
+#include "wire/request_messages.h"
+
+namespace citronwharf::test {
+
+// A peer that answers as an endpoint would; hooks change what it says.
+class scripted_endpoint {
+ public:
+  scripted_endpoint(boost::asio::io_context& loop, const std::string& name);
+
+  std::string address() const;
+  peer_hub& hub() { return *hub_; }
+  void hello();
+
+  std::string name;
+  endpoint_load load;
+  std::string received;              // all frames as JSON text
+  std::set<attempt_key> held;        // reserved, exported or running
+  std::map<std::string, int> count;  // frames by type
+  // Each returns whether it dealt with the message itself.
+  std::function<bool(const reserve_request&)> on_reserve;
+  std::function<bool(const prefill_request&)> on_prefill;
+  std::function<bool(const decode_request&, const std::string&)> on_decode;
+  std::function<bool(const plain_request&)> on_plain;
+  template <typename Message>
+  void send(const Message& out) {
+    hub_->send("entry-1", make_frame(out)).IgnoreError();
+  }
+  void send_tokens(const attempt_key& key, const std::string& prompt,
+                   std::int32_t from, std::int32_t to);
+  void send_end(const attempt_key& key, std::int32_t total,
+                failure_reason reason = failure_reason::none);
+  static std::map<std::string, std::string>& prompts();  // by export
+
+ private:
+  template <typename Message>
+  void note(const Message& in);
+
+  std::unique_ptr<peer_hub> hub_;
+  std::uint16_t port_ = 0;
+};
+
+// A caller's call under way or over.
+struct caller_call {
+  std::unique_ptr<http_call> call;
+  bool over = false;
+  bool whole = false;  // the connection did not break
+  http_response answer;
+  std::string header(const char* name) const {
+    return find_header(answer.headers, name);
+  }
+};
+
+class caller_world {
+ public:
+  explicit caller_world(const std::function<void(settings&)>& change = {},
+                        duration fresh_for_in = seconds(3600));
+
+  // Starts a call; follow it by until().
+  std::unique_ptr<caller_call> call(http_request in);
+  // Calls and waits for the end.
+  std::unique_ptr<caller_call> finish(http_request in);
+  bool until(const std::function<bool()>& holds);
+  // Puts the desired configuration in force and confirms it for fresh_for.
+  void apply();
+
+  static http_request post(const std::string& target, const std::string& body,
+                           const std::string& key = "good");
+
+  duration fresh_for;
+  boost::asio::io_context loop;
+  settings options;
+  configuration_view view;
+  metric_registry metrics;
+  tracer traces;
+  std::unique_ptr<peer_hub> hub;
+  std::unique_ptr<process_context> process;
+  scripted_endpoint prefill, decode, plain;
+  std::unique_ptr<process_role> entry;
+  configuration desired;
+  std::string address;
+};
+
+}  // namespace citronwharf::test
+
+#endif  // CITRONWHARF_TEST_CALLER_WORLD_H_
