Claims of idempotency keys: replicated before anything is sent

claims is a machine of the log of kind "claims"; the entry proposes through claim_service at whichever replica leads, repeats by the same owner are granted again, an owner past its deadline leaves "unknown", "not run" frees the key. A key on an open route is refused, since callers can't be told apart there.

--- a/src/entry/active_request.cc
+++ b/src/entry/active_request.cc
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr int too_many_requests = 429;
+constexpr int unavailable = 503;
+// A claim's owner has surely ended this long after its deadline.
+constexpr duration claim_margin = seconds(5);
+constexpr duration longest_claim = seconds(5);
+constexpr duration longest_claim_finish = seconds(30);
 constexpr int caller_closed = 499;
 
 std::string service_name(service_class service) {
@@ -77,9 +82,81 @@
     return;
   }
   charged_ = cost_of(in_.call);
+  claim();
+}
+
+// A request with an Idempotency-Key goes on once its claim is synced.
+void active_request::claim() {
+  if (!in_.claim) {
+    place();
+    return;
+  }
+  stage_span_ = context_.process.traces.start("claim", root_.context());
+  const time_point now = runtime_clock::now();
+  in_.claim->owner = relay_.request_id();
+  in_.claim->life_us = to_microseconds(deadline_ - now + claim_margin);
+  relay_.keep_text();
+  claim_id_ = context_.claims.claim(
+      *in_.claim, std::min(deadline_, now + longest_claim),
+      [context = &context_, number = in_.number](const claim_reply& reply) {
+        if (active_request* self = context->find(number)) {
+          self->claim_answered(reply);
+        }
+      });
+}
+
+void active_request::claim_answered(const claim_reply& reply) {
+  claim_id_ = 0;
+  if (ended_) {
+    return;
+  }
+  if (auto why = claim_problem(reply.state)) {
+    // Without an answer the claim may stand: it is let go.
+    claimed_ = reply.state == claim_state::unavailable;
+    refuse(std::move(*why));
+    return;
+  }
+  if (reply.state == claim_state::done) {
+    replay(reply.answer);
+    return;
+  }
+  claimed_ = true;
   place();
 }
 
+void active_request::replay(const claimed_answer& answer) {
+  if (std::holds_alternative<plain_call>(in_.call.call)) {
+    relay_.replay_plain(answer.status, answer.headers, answer.body);
+  } else {
+    relay_.replay(answer.body, answer.tokens);
+  }
+  settle(0);
+  end(request_outcome::done, std::nullopt);
+}
+
+// Tells the control replicas what became of a claimed request.
+void active_request::finish_claim(request_outcome outcome) {
+  if (!claimed_) {
+    return;
+  }
+  claimed_ = false;
+  claim_finish out;
+  out.name = in_.claim->name;
+  out.owner = in_.claim->owner;
+  if (outcome == request_outcome::done) {
+    out.end = claim_end::done;
+    out.answer = std::move(answer_);
+    if (pools_life_) {
+      out.answer.body = relay_.text();
+      out.answer.tokens = relay_.count();
+    }
+  } else if (outcome == request_outcome::not_run) {
+    out.end = claim_end::not_run;
+  }
+  context_.claims.finish(std::move(out),
+                         runtime_clock::now() + longest_claim_finish);
+}
+
 void active_request::place() {
   context_.retries.fresh();
   if (auto* call = std::get_if<pools_call>(&in_.call.call)) {
@@ -189,7 +266,7 @@
   } else if (plain_life_) {
     perform(plain_life_->on_timer(now));
   } else if (now >= deadline_) {
-    refuse(problem{503, request_outcome::not_run, reasons::deadline,
+    refuse(problem{unavailable, request_outcome::not_run, reasons::deadline,
                    "the deadline has passed", seconds(1), true});
   }
   arm_timer();
@@ -228,6 +305,12 @@
     context_.allowances.abandon(allowance_id_);
     allowance_id_ = 0;
   }
+  if (claim_id_ != 0) {
+    context_.claims.abandon(claim_id_);
+    claim_id_ = 0;
+    claimed_ = true;  // it may have been granted
+  }
+  settle(0);
   relay_.broken(why);
   end(why.outcome, why);
 }
--- a/src/entry/active_request.h
+++ b/src/entry/active_request.h
@@ -23,7 +23,7 @@
   std::uint64_t number = 0;  ///< counted by this incarnation of the entry
   caller_identity caller;
   routed_call call;
-  std::string idempotency_key;
+  std::optional<claim_request> claim;  ///< of its Idempotency-Key
 };
 
 /// Loop's thread only.
@@ -50,6 +50,10 @@
 
  private:
   void allowed(const allowance_decision& decision);
+  void claim();
+  void claim_answered(const claim_reply& reply);
+  void replay(const claimed_answer& answer);
+  void finish_claim(request_outcome outcome);
   void place();
   void place_pools(const pools_call& call);
   void place_plain(plain_call call);
@@ -86,6 +90,9 @@
   bool waits_ = true;  ///< holds a place in the waiting room
   bool ended_ = false;
   std::uint64_t allowance_id_ = 0;  ///< 0 when none is waited for
+  std::uint64_t claim_id_ = 0;      ///< 0 when none is waited for
+  bool claimed_ = false;            ///< the claim is to be finished
+  claimed_answer answer_;           ///< to be stored with the claim
   double charged_ = 0;              ///< tokens taken from the allowance
   std::unique_ptr<request_life> pools_life_;
   std::unique_ptr<plain_life> plain_life_;
--- a/src/entry/active_request_actions.cc
+++ b/src/entry/active_request_actions.cc
@@ -79,6 +79,9 @@
   } else if (const auto* tokens = std::get_if<relay_action>(&action)) {
     relay_tokens(tokens->tokens);
   } else if (const auto* plain = std::get_if<plain_answer_action>(&action)) {
+    if (claimed_) {
+      answer_ = {plain->status, plain->headers, plain->body, 0};
+    }
     relay_.plain(plain->status, plain->headers, plain->body);
   } else if (const auto* report = std::get_if<report_action>(&action)) {
     note_report(*report);
@@ -196,6 +199,7 @@
 void active_request::end(request_outcome outcome,
                          const std::optional<problem>& why) {
   ended_ = true;
+  finish_claim(outcome);
   metric_registry& metrics = context_.process.metrics;
   metrics.add(outcomes_metric,
               {{"route", in_.call.to.name}, {"outcome", to_string(outcome)}});
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -7,6 +7,7 @@
 
 #include "base/process_context.h"
 #include "entry/allowance_service.h"
+#include "entry/claim.h"
 #include "entry/place.h"
 #include "entry/retry_budget.h"
 #include "entry/waiting_room.h"
@@ -24,6 +25,7 @@
   retry_budget& retries;
   waiting_room& waiting;
   endpoint_memory& memory;
+  claim_client& claims;
   /// Finds a request that is still active by its number, or returns nullptr.
   /// Timers and answers come back through it, so that none can reach a request
   /// that is gone.
--- a/src/entry/entry_role.cc
+++ b/src/entry/entry_role.cc
@@ -12,7 +12,7 @@
 namespace citronwharf {
 namespace {
 
-constexpr duration claims_interval = seconds(1);
+constexpr duration holder_interval = seconds(1);
 constexpr duration queue_full_retry = seconds(1);
 constexpr int unavailable = 503;
 constexpr int too_many_requests = 429;
@@ -65,14 +65,16 @@
         waiting_(static_cast<std::size_t>(process.options.limits.max_waiting),
                  static_cast<std::size_t>(
                      process.options.limits.max_waiting_per_organisation)),
-        context_{process,  places_, *allowances_, retries_,
-                 waiting_, memory_, {},           {}},
+        claims_(process),
+        context_{process, places_, *allowances_, retries_, waiting_,
+                 memory_, claims_, {},           {}},
         server_(process.loop, server_options(process.options),
                 [this](http_request in, std::unique_ptr<http_exchange> out) {
                   take(std::move(in), std::move(out));
                 }),
-        claims_timer_(process.loop) {
+        holder_timer_(process.loop) {
     context_.find = [this](std::uint64_t number) { return find(number); };
+    claims_.on_idle([this] { check_drained(); });
     context_.remove = [this](std::uint64_t number) { remove(number); };
   }
 
@@ -89,7 +91,7 @@
     }
     port_ = *port;
     accepting_ = true;
-    send_claims_later();
+    send_holder_claims_later();
     return absl::OkStatus();
   }
 
@@ -215,8 +217,18 @@
       return std::move(*why);
     }
     accepted_request out{number, std::get<caller_identity>(std::move(caller)),
-                         std::get<routed_call>(std::move(call)),
-                         read.idempotency_key};
+                         std::get<routed_call>(std::move(call)), std::nullopt};
+    if (auto why = check_claim(read, out.caller.keyed)) {
+      return std::move(*why);
+    }
+    if (!read.idempotency_key.empty()) {
+      out.claim = claim_request{
+          0,
+          {out.caller.organisation, key_digest(read.idempotency_key)},
+          request_digest(read),
+          "",
+          0};
+    }
     if (auto why = check_size(out.call, *current, memory_)) {
       return std::move(*why);
     }
@@ -262,22 +274,22 @@
   }
 
   void check_drained() {
-    if (!accepting_ && active_.empty() && drained_) {
+    if (!accepting_ && active_.empty() && claims_.idle() && drained_) {
       std::exchange(drained_, nullptr)();
     }
   }
 
-  void send_claims_later() {
-    claims_timer_.expires_after(claims_interval);
-    claims_timer_.async_wait([this](const boost::system::error_code& error) {
+  void send_holder_claims_later() {
+    holder_timer_.expires_after(holder_interval);
+    holder_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        send_claims();
-        send_claims_later();
+        send_holder_claims();
+        send_holder_claims_later();
       }
     });
   }
 
-  void send_claims() {
+  void send_holder_claims() {
     std::map<std::string, std::vector<attempt_key>> wanted;
     for_each([&](const active_request& one) {
       for (held_work& work : one.held()) {
@@ -298,10 +310,11 @@
   retry_budget retries_;
   waiting_room waiting_;
   endpoint_memory memory_;
+  claim_client claims_;
   entry_context context_;
   std::map<std::uint64_t, std::unique_ptr<active_request>> active_;
   http_server server_;
-  runtime_timer claims_timer_;
+  runtime_timer holder_timer_;
   std::map<std::string, std::string> connected_;  ///< addresses by endpoint
   std::uint64_t last_number_ = 0;
   std::uint16_t port_ = 0;
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -12,7 +12,7 @@
 void relay::start() {
   if (!started_) {
     started_ = true;
-    exchange_->start_stream(stream_head(request_id_));
+    exchange_->start_stream(mark(stream_head(request_id_)));
   }
 }
 
@@ -23,7 +23,8 @@
   if (stream_) {
     start();
     exchange_->write(tokens_event(count_, next));
-  } else {
+  }
+  if (!stream_ || keep_text_) {
     for (const std::string& token : next) {
       text_ += token;
     }
@@ -40,7 +41,7 @@
     exchange_->write(end_event(request_id_, count_));
     exchange_->finish();
   } else {
-    exchange_->respond(whole_response(request_id_, text_, count_));
+    exchange_->respond(mark(whole_response(request_id_, text_, count_)));
   }
   drop();
 }
@@ -49,11 +50,31 @@
                   std::string body) {
   if (open()) {
     exchange_->respond(
-        plain_response(request_id_, status, headers, std::move(body)));
+        mark(plain_response(request_id_, status, headers, std::move(body))));
     drop();
   }
 }
 
+void relay::replay(const std::string& text, std::int32_t tokens) {
+  replayed_ = true;
+  this->tokens({text});
+  count_ = tokens;
+  whole();
+}
+
+void relay::replay_plain(int status, const std::vector<header_field>& headers,
+                         std::string body) {
+  replayed_ = true;
+  plain(status, headers, std::move(body));
+}
+
+http_response relay::mark(http_response out) const {
+  if (replayed_) {
+    out.headers.push_back({"Idempotency-Replayed", "true"});
+  }
+  return out;
+}
+
 void relay::broken(const problem& why) {
   if (!open()) {
     return;
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -20,6 +20,8 @@
   relay(std::unique_ptr<http_exchange> exchange, std::string request_id);
 
   void set_stream(bool stream) { stream_ = stream; }
+  /// Keeps the text of a stream too, to be stored.
+  void keep_text() { keep_text_ = true; }
   /// Adds tokens to the answer; the first ones start a stream.
   void tokens(const std::vector<std::string>& next);
   /// Ends the answer of a pools route as whole.
@@ -27,6 +29,10 @@
   /// Ends with a plain service's answer.
   void plain(int status, const std::vector<header_field>& headers,
              std::string body);
+  /// Ends with an answer that was stored under the caller's Idempotency-Key.
+  void replay(const std::string& text, std::int32_t tokens);
+  void replay_plain(int status, const std::vector<header_field>& headers,
+                    std::string body);
   /// Ends with a problem: as the answer, or as the last event of a stream.
   void broken(const problem& why);
   /// Nothing more is sent. The exchange lives as long as the relay, since this
@@ -42,14 +48,17 @@
 
  private:
   void start();
+  http_response mark(http_response out) const;
 
   std::unique_ptr<http_exchange> exchange_;
   std::string request_id_;
   bool open_ = true;
   bool stream_ = false;
   bool started_ = false;
+  bool keep_text_ = false;
+  bool replayed_ = false;
   std::int32_t count_ = 0;
-  std::string text_;  ///< kept when the answer does not stream
+  std::string text_;  ///< when the answer does not stream or is to be kept
 };
 
 }  // namespace citronwharf
--- a/test/caller_world.h
+++ b/test/caller_world.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "base/process_context.h"
+#include "control/claim_service.h"
+#include "entry/claims.h"
 #include "net/http_client.h"
 #include "net/peer_hub.h"
 #include "wire/request_messages.h"
@@ -56,6 +58,40 @@
   std::uint16_t port_ = 0;
 };
 
+// A replica that commits at once where it leads; all share one machine.
+class instant_replica final : public replica {
+ public:
+  explicit instant_replica(claims& machine) : machine_(machine) {}
+  absl::Status open() override { return absl::OkStatus(); }
+  absl::Status make_group() override { return absl::OkStatus(); }
+  void propose(nlohmann::json command, proposal_done done) override;
+  void add_member(const std::string&, const std::string&,
+                  std::function<void(absl::Status)>) override {}
+  void remove_member(const std::string&,
+                     std::function<void(absl::Status)>) override {}
+  absl::Status take_snapshot() override { return absl::OkStatus(); }
+  replica_status status() const override;
+  void subscribe(std::function<void()>) override {}
+
+  bool leads = false;
+  int doubts = 0;  // proposals that are applied but reported as unknown
+
+ private:
+  claims& machine_;
+  std::uint64_t index_ = 0;
+};
+
+// A control process as far as claims go.
+struct scripted_control {
+  scripted_control(boost::asio::io_context& loop, const std::string& name,
+                   claims& machine, process_context& shared);
+  std::unique_ptr<peer_hub> hub;
+  settings options;
+  instant_replica log;
+  std::unique_ptr<process_context> process;
+  std::unique_ptr<claim_service> service;
+};
+
 // A caller's call under way or over.
 struct caller_call {
   std::unique_ptr<http_call> call;
@@ -92,6 +128,8 @@
   std::unique_ptr<peer_hub> hub;
   std::unique_ptr<process_context> process;
   scripted_endpoint prefill, decode, plain;
+  claims machine;
+  std::unique_ptr<scripted_control> follower, leader;  // of the claims
   std::unique_ptr<process_role> entry;
   configuration desired;
   std::string address;
