Control role: claims machine and service hooked in

The machine goes to the replica under claim_command::kind, the service beside the other users of the log. For the owner of control_role.cc to merge: two members, two lines of the constructor.

--- a/src/control/control_role.cc
+++ b/src/control/control_role.cc
@@ -12,10 +12,12 @@
 
 #include "control/admin_api.h"
 #include "control/admin_forwarder.h"
+#include "control/claim_service.h"
 #include "control/configuration_machine.h"
 #include "control/configuration_source.h"
 #include "control/key.h"
 #include "control/replica.h"
+#include "entry/claims.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -61,10 +63,12 @@
   explicit control_role(process_context& process)
       : process_(process),
         log_(make_replica(process, {{configuration_command::kind, &machine_},
+                                    {claim_command::kind, &claims_},
                                     {"barrier", &barrier_}})),
         api_(*log_, machine_),
         forwarder_(process, api_),
-        source_(process, *log_, machine_) {}
+        source_(process, *log_, machine_),
+        claim_service_(process, *log_, system_wall_clock()) {}
 
   absl::Status start() override {
     auto token = read_token(process_.options.operator_token_file);
@@ -133,11 +137,13 @@
   process_context& process_;
   configuration_machine machine_;
   barrier_machine barrier_;
+  claims claims_;
   std::string token_digest_;
   std::unique_ptr<replica> log_;
   admin_api api_;
   admin_forwarder forwarder_;
   configuration_source source_;
+  claim_service claim_service_;
 };
 
 }  // namespace
