--- a/src/entry/request_life.h
+++ b/src/entry/request_life.h
@@ -38,14 +38,14 @@
   duration longest_wait = milliseconds(1000);
   std::uint32_t most_prefills = 4;  ///< sent for one request
   std::uint32_t most_resumes = 4;   ///< asked of one attempt
-  std::uint32_t most_repeats = 2;   ///< of a reservation without answer
   std::size_t most_crossed = 64;    ///< token frames kept out of order
   std::int32_t most_choices = 3;    ///< endpoints asked in one round
 };
 
 /// A deterministic state machine without I/O or clock: events and `now` go in,
-/// actions come out. Frames of other attempts are dropped. After the
-/// finish_action every event gives no action. One thread.
+/// actions come out. Frames of other attempts are dropped, and what an endpoint
+/// still does for them is cancelled; after the finish_action nothing else
+/// comes. One thread.
 class request_life {
  public:
   request_life(pools_work work, request_life_options options, life_hooks hooks);
@@ -144,7 +144,6 @@
   std::uint32_t attempts_ = 0;
   std::uint32_t prefills_ = 0;
   std::uint32_t resumes_ = 0;
-  std::uint32_t repeats_ = 0;
   std::uint32_t rounds_ = 0;  ///< of refusals, for the growing wait
   bool ran_ = false;          ///< something ran, or it can't be excluded
   bool generated_ = false;    ///< as ran_, for generation
