--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -95,7 +95,7 @@
   template <typename Endpoint>
   void prepare(Endpoint& endpoint);
   template <typename Endpoint>
-  void attach(Endpoint& endpoint, session opened,
+  void attach(session opened,
               const typename Endpoint::connection_ptr& connection);
 
   void opened(std::uint64_t id);
@@ -151,19 +151,15 @@
 
 template <typename Endpoint>
 void peer_hub::impl::attach(
-    Endpoint& endpoint, session opened_session,
+    session opened_session,
     const typename Endpoint::connection_ptr& connection) {
   const std::uint64_t id = opened_session.id;
   opened_session.handle = connection->get_handle();
   opened_session.last_heard = runtime_clock::now();
   sessions_[id] = std::move(opened_session);
   const std::weak_ptr<impl> weak = weak_from_this();
-  connection->set_open_handler([weak, id,
-                                &endpoint](const connection_hdl& handle) {
+  connection->set_open_handler([weak, id](const connection_hdl& /*handle*/) {
     if (const auto self = weak.lock()) {
-      // Frames are small and each matters at once.
-      endpoint.get_con_from_hdl(handle)->get_socket().set_option(
-          asio::ip::tcp::no_delay(true));
       self->opened(id);
     }
   });
@@ -198,7 +194,7 @@
     }
     session accepted;
     accepted.id = next_id_++;
-    attach(server_, std::move(accepted), server_.get_con_from_hdl(handle));
+    attach<ws_server>(std::move(accepted), server_.get_con_from_hdl(handle));
     return true;
   });
   websocketpp::lib::error_code error;
@@ -253,7 +249,7 @@
   dialled.dialled = true;
   dialled.dial_target = address;
   target.session = dialled.id;
-  attach(client_, std::move(dialled), connection);
+  attach<ws_client>(std::move(dialled), connection);
   client_.connect(connection);
 }
 
