--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -12,6 +12,8 @@
 #include "base/decode.h"
 #include "control/data_folder.h"
 #include "control/member_joiner.h"
+#include "control/proposal_table.h"
+#include "control/replica_status.h"
 #include "control/replicated_log.h"
 #include "observe/event.h"
 
@@ -38,12 +40,6 @@
   return !address.empty() && !absl::EndsWith(address, ":0");
 }
 
-struct pending_proposal {
-  std::uint64_t term = 0;
-  time_point deadline;
-  replica::proposal_done done;
-};
-
 class disk_replica final : public replica {
  public:
   disk_replica(replica_environment environment, machines machines)
@@ -83,7 +79,6 @@
   void perform(restore_action& action);
   void perform(members_action& action);
   void on_written(std::uint64_t sequence, const absl::Status& written);
-  void end_proposals();
   void finish_removal();
   void notify();
   time_point now() const { return runtime_clock::now(); }
@@ -94,8 +89,8 @@
   std::optional<data_folder> folder_;
   std::optional<replicated_log> log_;
   std::unique_ptr<member_joiner> joiner_;
-  std::map<std::uint64_t, pending_proposal> proposals_;  // by index
-  std::string removing_;                                 // replica id, or ""
+  proposal_table proposals_;
+  std::string removing_;  // replica id, or ""
   std::function<void(absl::Status)> removed_;
   std::vector<std::function<void()>> subscribers_;
   bool pump_scheduled_ = false;
@@ -171,8 +166,7 @@
     done(position.status());
     return;
   }
-  proposals_[position->index] = {position->term, now() + proposal_timeout,
-                                 std::move(done)};
+  proposals_.add(*position, now() + proposal_timeout, std::move(done));
   schedule_pump();
 }
 
@@ -214,23 +208,12 @@
 }
 
 replica_status disk_replica::status() const {
-  replica_status out;
-  if (!log_) {
-    out.role = to_text(log_role::outside);
-    return out;
+  if (log_) {
+    return describe(*log_, folder_->identity.replica);
   }
-  out.id = log_->state().group.empty() ? "" : folder_->identity.replica;
-  out.role = to_text(log_->role());
-  out.term = log_->state().term;
-  out.leader = log_->leader();
-  out.first_index = log_->first_index();
-  out.last_index = log_->stable_index();
-  out.commit_index = log_->commit_index();
-  out.applied_index = log_->applied_index();
-  out.snapshot_index = log_->snapshot_index();
-  out.members = log_->members();
-  out.fault = log_->fault();
-  return out;
+  replica_status closed;
+  closed.role = to_text(log_role::outside);
+  return closed;
 }
 
 // Events that come in one turn of the loop share one batch.
@@ -256,7 +239,8 @@
     }
     actions = log_->take_actions(now());
   }
-  end_proposals();
+  const bool leads = log_->role() == log_role::leader;
+  proposals_.end_unknown(leads ? log_->state().term : 0, now());
   finish_removal();
   joiner_->advance();
   const auto since_snapshot =
@@ -273,9 +257,7 @@
 
 void disk_replica::arm_timer() {
   time_point due = log_->next_deadline();
-  for (const auto& [index, proposal] : proposals_) {
-    due = std::min(due, proposal.deadline);
-  }
+  due = std::min(due, proposals_.next_deadline());
   due = std::min(due, joiner_->next_deadline());
   if (due == time_point::max()) {
     timer_.cancel();
@@ -342,17 +324,7 @@
   if (machine != machines_.end()) {
     result = machine->second->apply(index, command);
   }
-  const auto found = proposals_.find(index);
-  if (found == proposals_.end()) {
-    return;
-  }
-  const pending_proposal proposal = std::move(found->second);
-  proposals_.erase(found);
-  if (proposal.term == action.entry.term) {
-    proposal.done(proposal_result{index, std::move(result)});
-  } else {
-    proposal.done(absl::AbortedError("another leader's entry took its place"));
-  }
+  proposals_.applied({index, action.entry.term}, std::move(result));
 }
 
 void disk_replica::perform(restore_action& action) {
@@ -381,30 +353,6 @@
   log_event(events::members_changed, text);
 }
 
-// Ends those that are late, and all once this replica no longer leads: the
-// outcome is then unknown.
-void disk_replica::end_proposals() {
-  const bool leads = log_->role() == log_role::leader;
-  std::vector<std::pair<proposal_done, absl::Status>> ended;
-  for (auto at = proposals_.begin(); at != proposals_.end();) {
-    pending_proposal& proposal = at->second;
-    if (!leads || proposal.term != log_->state().term) {
-      ended.emplace_back(std::move(proposal.done),
-                         absl::AbortedError("leader changed; outcome unknown"));
-    } else if (proposal.deadline <= now()) {
-      ended.emplace_back(std::move(proposal.done),
-                         absl::DeadlineExceededError("outcome unknown"));
-    } else {
-      ++at;
-      continue;
-    }
-    at = proposals_.erase(at);
-  }
-  for (auto& [done, why] : ended) {
-    done(why);
-  }
-}
-
 void disk_replica::finish_removal() {
   if (removing_.empty()) {
     return;
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -26,6 +26,15 @@
   using std::runtime_error::runtime_error;
 };
 
+inline void require(bool holds, const std::string& promise) {
+  if (!holds) {
+    throw broken_promise(promise);
+  }
+}
+
+/// The machine of the tests: folds commands into a digest, in their order.
+std::uint64_t next_digest(std::uint64_t digest, const log_entry& entry);
+
 struct network_faults {
   double drop = 0;
   double duplicate = 0;
--- a/test/log_random-test.cc
+++ b/test/log_random-test.cc
@@ -1,6 +1,7 @@
 // The replicated log under random faults: CITRONWHARF_LOG_SEED replays one
 // seed, CITRONWHARF_LOG_SEEDS says how many are run.
 #include <fmt/format.h>
+#include <glog/logging.h>
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -149,10 +150,22 @@
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
+// Says which seed and step a broken invariant belongs to.
+std::uint64_t current_seed = 0;
+const random_run* current_run = nullptr;
+__attribute__((noreturn)) void on_broken_invariant() {
+  fmt::print(stderr, "CITRONWHARF_LOG_SEED={} step {}\n", current_seed,
+             current_run != nullptr ? current_run->cluster.steps() : 0);
+  std::abort();
+}
+
 void run_seed(std::uint64_t seed) {
   std::optional<random_run> run;
+  current_seed = seed;
+  current_run = nullptr;
   try {
     run.emplace(seed);
+    current_run = &*run;
     run->run();
     BOOST_TEST(run->cluster.acknowledged() > 0U);
   } catch (const broken_promise& broken) {
@@ -165,6 +178,7 @@
 
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults) {
   constexpr std::uint64_t default_seeds = 1000;
+  google::InstallFailureFunction(on_broken_invariant);
   const std::uint64_t only = number_from("CITRONWHARF_LOG_SEED", 0);
   if (only != 0) {
     run_seed(only);
--- a/test/replicated_log-test.cc
+++ b/test/replicated_log-test.cc
@@ -173,6 +173,11 @@
               absl::StatusCode::kNotFound));
   BOOST_TEST(of.run_until([&] { return of.join(3); }, bound));
   BOOST_TEST(log.members().size() == members + 1);
+  // A new voter is settled while it holds all that is committed.
+  BOOST_TEST(log.settled(of.at(3).id));
+  of.isolate(3);
+  BOOST_TEST(of.make_progress(bound));
+  BOOST_TEST(!log.settled(of.at(3).id));
 }
 
 BOOST_AUTO_TEST_CASE(a_leader_removes_itself_and_another_leads) {
