--- a/bench/log.cc
+++ b/bench/log.cc
@@ -236,7 +236,27 @@
   return out;
 }
 
-void print_table(const nlohmann::json& runs, const nlohmann::json& restart) {
+// The disk alone: a small write and its sync.
+nlohmann::json measure_disk() {
+  constexpr int syncs = 500;
+  const std::string path =
+      fmt::format("{}/bench-log-sync-{}", FLAGS_folder, getpid());
+  const disk_operations disk = real_disk();
+  const disk_file file = disk.open(path).value();
+  const std::string bytes(static_cast<std::size_t>(FLAGS_command_bytes), 'x');
+  std::vector<double> latencies;
+  for (int i = 0; i < syncs; ++i) {
+    const auto start = steady::now();
+    CHECK(file.write(bytes).ok() && file.sync().ok());
+    latencies.push_back(seconds_since(start));
+  }
+  CHECK(disk.remove(path).ok());
+  return {{"sync_p50_ms", percentile(latencies, 0.5)},
+          {"sync_p99_ms", percentile(latencies, 0.99)}};
+}
+
+void print_table(const nlohmann::json& runs, const nlohmann::json& disk,
+                 const nlohmann::json& restart) {
   fmt::print("{:>8} {:>8} {:>12} {:>9} {:>9} {:>14}\n", "replicas", "clients",
              "per second", "p50 ms", "p99 ms", "bytes/command");
   for (const auto& run : runs) {
@@ -246,8 +266,10 @@
                run["p99_ms"].get<double>(),
                run["journal_bytes_per_command"].get<std::uint64_t>());
   }
-  for (const auto& [name, value] : restart.items()) {
-    fmt::print("{:>28} {:.1f}\n", name, value.get<double>());
+  for (const nlohmann::json& part : {disk, restart}) {
+    for (const auto& [name, value] : part.items()) {
+      fmt::print("{:>28} {:.2f}\n", name, value.get<double>());
+    }
   }
 }
 
@@ -257,6 +279,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   google::InitGoogleLogging(argv[0]);
   FLAGS_minloglevel = google::GLOG_ERROR;
+  const nlohmann::json disk = measure_disk();
   nlohmann::json runs = nlohmann::json::array();
   for (const int replicas : {1, 3}) {
     for (const int clients : {1, 16, 128}) {
@@ -264,7 +287,10 @@
     }
   }
   const nlohmann::json restart = measure_restart();
-  print_table(runs, restart);
-  std::cout << nlohmann::json{{"proposals", runs}, {"restart", restart}}.dump()
+  print_table(runs, disk, restart);
+  std::cout << nlohmann::json{{"disk", disk},
+                              {"proposals", runs},
+                              {"restart", restart}}
+                   .dump()
             << "\n";
 }
