Replica: adding a member can be asked for again, and ends

Cause: an operator who lost the answer to add_member got AlreadyExists while the learner caught up; and a learner that died while catching up left the call open and blocked every later one. Change: asking again waits like the first time; the first asker is answered Aborted. The call ends when the member is removed, or after two minutes. Conclusion: replica-test asks again for a member; the time limits have no test of their own.

--- a/src/control/member_joiner.cc
+++ b/src/control/member_joiner.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace citronwharf {
@@ -9,6 +10,13 @@
 
 constexpr duration probe_interval = milliseconds(200);
 constexpr duration identity_timeout = seconds(10);
+constexpr duration catch_up_timeout = seconds(120);
+
+bool is_member(const replicated_log& log, const std::string& id) {
+  return std::any_of(
+      log.members().begin(), log.members().end(),
+      [&](const replica_member& member) { return member.id == id; });
+}
 
 }  // namespace
 
@@ -45,11 +53,14 @@
         fmt::format("not the leader; leader: {}", log_.leader())));
     return;
   }
-  if (done_) {
+  if (done_ && process != joining_.process) {
     done(absl::FailedPreconditionError(
         "another change of members is under way"));
     return;
   }
+  if (done_) {
+    end(absl::AbortedError("asked for again"));
+  }
   joining_ = replica_member{"", process, address, false};
   done_ = std::move(done);
   next_probe_ = runtime_clock::now();
@@ -68,12 +79,14 @@
     return;
   }
   joining_.id = in.id;
+  deadline_ = runtime_clock::now() + catch_up_timeout;
   const absl::Status added = log_.add_learner(runtime_clock::now(), joining_);
-  if (!added.ok()) {
+  // Who asks again for a member waits for it like the first one.
+  if (added.ok() || absl::IsAlreadyExists(added)) {
+    on_change_();
+  } else {
     end(added);
-    return;
   }
-  on_change_();
 }
 
 void member_joiner::advance() {
@@ -84,18 +97,22 @@
     end(absl::AbortedError("leader changed; outcome unknown"));
     return;
   }
-  if (!joining_.id.empty()) {
-    if (log_.settled(joining_.id)) {
-      end(absl::OkStatus());
-    }
-    return;
-  }
   const time_point now = runtime_clock::now();
-  if (now >= deadline_) {
-    end(absl::DeadlineExceededError(
-        fmt::format("{} did not answer", joining_.process)));
-    return;
+  const bool known = !joining_.id.empty();
+  if (known && log_.settled(joining_.id)) {
+    end(absl::OkStatus());
+  } else if (known && !is_member(log_, joining_.id)) {
+    end(absl::AbortedError("the member was removed"));
+  } else if (now >= deadline_) {
+    end(absl::DeadlineExceededError(fmt::format(
+        known ? "{} has not caught up; it goes on" : "{} did not answer",
+        joining_.process)));
+  } else if (!known) {
+    probe(now);
   }
+}
+
+void member_joiner::probe(time_point now) {
   if (now >= next_probe_) {
     next_probe_ = now + probe_interval;
     const member_probe out{log_.state().group};
@@ -104,7 +121,10 @@
 }
 
 time_point member_joiner::next_deadline() const {
-  return done_ && joining_.id.empty() ? next_probe_ : time_point::max();
+  if (!done_) {
+    return time_point::max();
+  }
+  return joining_.id.empty() ? next_probe_ : deadline_;
 }
 
 void member_joiner::end(const absl::Status& outcome) {
--- a/src/control/member_joiner.h
+++ b/src/control/member_joiner.h
@@ -34,6 +34,7 @@
 
  private:
   void on_identity(const std::string& process, const member_identity& in);
+  void probe(time_point now);
   void end(const absl::Status& outcome);
 
   peer_hub& peers_;
@@ -43,7 +44,7 @@
   replica_member joining_;  // id "" while it is not known
   std::function<void(absl::Status)> done_;
   time_point next_probe_;
-  time_point deadline_;  // for the identity
+  time_point deadline_;  // for the identity, then for catching up
   // Shared with handlers that may come after the joiner is gone.
   std::shared_ptr<bool> alive_;
 };
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -73,7 +73,10 @@
   /// Adds the process at `address` as a learner; it becomes a voter by itself
   /// once it has caught up and synced. One change at a time
   /// (FailedPrecondition). `done` is called when the learner has become a
-  /// voter, or with an error.
+  /// voter that holds all that is committed, or with an error. Asking again
+  /// for a member is allowed, as after a lost answer; the first asker is then
+  /// answered Aborted. DeadlineExceeded when the process does not answer, or
+  /// has not caught up within two minutes (it goes on catching up).
   virtual void add_member(const std::string& process,
                           const std::string& address,
                           std::function<void(absl::Status)> done) = 0;
--- a/test/replica-test.cc
+++ b/test/replica-test.cc
@@ -197,6 +197,7 @@
   }
   BOOST_TEST(of.all_hold({1, 2, 3, 4, 5}));
   BOOST_TEST(of.leader()->log->status().members.size() == 3U);
+  BOOST_TEST(of.add(1).ok());  // asked again, as after a lost answer
 
   // All stop and come back: nothing is missing.
   for (auto& vm : of.vms) {
