--- a/src/control/configuration_machine.cc
+++ b/src/control/configuration_machine.cc
@@ -175,6 +175,8 @@
         [&](const endpoint& known) { return known.name == changed.name; });
     if (before == current_.endpoints.end() || !same_order(*before, changed)) {
       order_indexes_[changed.name] = index;
+      pools_before_[changed.name] =
+          before == current_.endpoints.end() ? "" : before->pool;
     }
   }
 }
@@ -196,6 +198,12 @@
   return found == order_indexes_.end() ? 0 : found->second;
 }
 
+std::string configuration_machine::pool_before_order(
+    const std::string& endpoint) const {
+  const auto found = pools_before_.find(endpoint);
+  return found == pools_before_.end() ? "" : found->second;
+}
+
 std::optional<std::vector<json>> configuration_machine::changes_since(
     std::uint64_t version) const {
   if (version > current_.version ||
@@ -214,7 +222,8 @@
   return {{"configuration", current_},
           {"history", history_},
           {"operations", std::move(operations)},
-          {"order_indexes", order_indexes_}};
+          {"order_indexes", order_indexes_},
+          {"pools_before", pools_before_}};
 }
 
 void configuration_machine::restore(const json& state) {
@@ -222,6 +231,8 @@
   history_ = state.at("history").get<std::deque<change_record>>();
   order_indexes_ =
       state.at("order_indexes").get<std::map<std::string, std::uint64_t>>();
+  pools_before_ =
+      state.at("pools_before").get<std::map<std::string, std::string>>();
   deltas_.clear();
   operations_.clear();
   operation_places_.clear();
--- a/src/control/configuration_machine.h
+++ b/src/control/configuration_machine.h
@@ -111,6 +111,9 @@
   /// Returns the log index of the change that last ordered what the engine of
   /// this endpoint shall be; 0 for an unknown endpoint.
   std::uint64_t order_index(const std::string& endpoint) const;
+  /// Returns the pool that the endpoint was in before that change; "" when it
+  /// was not there.
+  std::string pool_before_order(const std::string& endpoint) const;
 
   /// Returns the documents that lead from `version` to the present one in
   /// turn; nothing when they are not all kept.
@@ -146,7 +149,8 @@
   std::deque<remembered_operation> operations_;
   std::map<std::string, std::size_t> operation_places_;  // counted from start
   std::size_t forgotten_operations_ = 0;
-  std::map<std::string, std::uint64_t> order_indexes_;
+  std::map<std::string, std::uint64_t> order_indexes_;  // by endpoint
+  std::map<std::string, std::string> pools_before_;     // by endpoint
 };
 
 }  // namespace citronwharf
--- a/src/control/control_role.cc
+++ b/src/control/control_role.cc
@@ -15,6 +15,7 @@
 #include "control/configuration_machine.h"
 #include "control/configuration_source.h"
 #include "control/key.h"
+#include "control/load_turn_service.h"
 #include "control/replica.h"
 #include "observe/event.h"
 
@@ -61,10 +62,12 @@
   explicit control_role(process_context& process)
       : process_(process),
         log_(make_replica(process, {{configuration_command::kind, &machine_},
+                                    {turn_command::kind, &turns_},
                                     {"barrier", &barrier_}})),
         api_(*log_, machine_),
         forwarder_(process, api_),
-        source_(process, *log_, machine_) {}
+        source_(process, *log_, machine_),
+        turn_service_(process, *log_, turns_, source_) {}
 
   absl::Status start() override {
     auto token = read_token(process_.options.operator_token_file);
@@ -132,12 +135,14 @@
 
   process_context& process_;
   configuration_machine machine_;
+  load_turns turns_{machine_};
   barrier_machine barrier_;
   std::string token_digest_;
   std::unique_ptr<replica> log_;
   admin_api api_;
   admin_forwarder forwarder_;
   configuration_source source_;
+  load_turn_service turn_service_;
 };
 
 }  // namespace
