--- a/src/control/load_turns.cc
+++ b/src/control/load_turns.cc
@@ -91,7 +91,7 @@
     reply.outcome = turn_outcome::in_order;
   } else if (running_turns(command.endpoint, now_ms) >= concurrent_loads) {
     reply.outcome = turn_outcome::wait;
-  } else if (command.serving && would_lose_last(*wanted, command, now_ms)) {
+  } else if (command.serving && would_lose_last(*wanted, command)) {
     reply.outcome = turn_outcome::last_serving;
   } else {
     reply.outcome = turn_outcome::granted;
@@ -159,22 +159,19 @@
       }));
 }
 
-// An endpoint that never asked for a turn serves as it is configured. One
-// whose turn ran out untold does not count until it says that it serves.
+// An endpoint that never asked for a turn serves as it is configured. One that
+// was granted a turn does not count until it says that it serves, also when
+// the turn ran out.
 bool load_turns::serves(const endpoint& in, const std::string& pool,
-                        const turn_command& command,
-                        std::int64_t now_ms) const {
+                        const turn_command& command) const {
   const endpoint_state& state = state_of(in.name);
-  const bool in_turn = state.turn_token != 0 && state.turn_until_ms > now_ms;
   const bool serving = states_.count(in.name) == 0 || state.serving;
-  return serving && !in_turn && !in.draining &&
-         command.live.count(in.name) != 0 && in.pool == pool &&
-         serving_pool(in) == pool;
+  return serving && !in.draining && command.live.count(in.name) != 0 &&
+         in.pool == pool && serving_pool(in) == pool;
 }
 
 bool load_turns::would_lose_last(const endpoint& in,
-                                 const turn_command& command,
-                                 std::int64_t now_ms) const {
+                                 const turn_command& command) const {
   const configuration& all = machine_.current();
   const std::string pool = serving_pool(in);
   const bool needed =
@@ -184,7 +181,7 @@
       });
   const bool others = std::any_of(
       all.endpoints.begin(), all.endpoints.end(), [&](const endpoint& other) {
-        return other.name != in.name && serves(other, pool, command, now_ms);
+        return other.name != in.name && serves(other, pool, command);
       });
   return needed && !others;
 }
--- a/src/control/load_turns.h
+++ b/src/control/load_turns.h
@@ -79,9 +79,8 @@
   std::string serving_pool(const endpoint& in) const;
   std::size_t running_turns(const std::string& but, std::int64_t now_ms) const;
   bool serves(const endpoint& in, const std::string& pool,
-              const turn_command& command, std::int64_t now_ms) const;
-  bool would_lose_last(const endpoint& in, const turn_command& command,
-                       std::int64_t now_ms) const;
+              const turn_command& command) const;
+  bool would_lose_last(const endpoint& in, const turn_command& command) const;
   engine_order order_of(const endpoint& in) const;
 
   const configuration_machine& machine_;
--- a/test/load-turns-test.cc
+++ b/test/load-turns-test.cc
@@ -181,6 +181,19 @@
   BOOST_TEST(next.order.fencing_token > old);
 }
 
+BOOST_AUTO_TEST_CASE(an_old_order_puts_no_endpoint_into_its_new_pool) {
+  turns_fixture fixture;
+  fixture.set({"p1", "d1"}, "model_version", "v2");
+  const std::uint64_t old = fixture.ask("p1").order.fencing_token;
+  fixture.configure(
+      {{"endpoints",
+        {{{"name", "p1"}, {"pool", "decode"}, {"role", "decode"}}}}},
+      true);
+  fixture.end("p1", old, true);
+  BOOST_TEST((fixture.outcome("d1", true, {"d1", "p1"}) ==
+              turn_outcome::last_serving));
+}
+
 BOOST_AUTO_TEST_CASE(under_random_orders_a_route_always_has_an_endpoint) {
   constexpr std::uint64_t seeds = 300;
   int granted = 0;
