--- a/src/control/control_role.cc
+++ b/src/control/control_role.cc
@@ -12,11 +12,13 @@
 
 #include "control/admin_api.h"
 #include "control/admin_forwarder.h"
+#include "control/claim_service.h"
 #include "control/configuration_machine.h"
 #include "control/configuration_source.h"
 #include "control/key.h"
 #include "control/load_turn_service.h"
 #include "control/replica.h"
+#include "entry/claims.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -63,11 +65,13 @@
       : process_(process),
         log_(make_replica(process, {{configuration_command::kind, &machine_},
                                     {turn_command::kind, &turns_},
+                                    {claim_command::kind, &claims_},
                                     {"barrier", &barrier_}})),
         api_(*log_, machine_),
         forwarder_(process, api_),
         source_(process, *log_, machine_),
-        turn_service_(process, *log_, turns_, source_) {}
+        turn_service_(process, *log_, turns_, source_),
+        claim_service_(process, *log_, system_wall_clock()) {}
 
   absl::Status start() override {
     auto token = read_token(process_.options.operator_token_file);
@@ -137,12 +141,14 @@
   configuration_machine machine_;
   load_turns turns_{machine_};
   barrier_machine barrier_;
+  claims claims_;
   std::string token_digest_;
   std::unique_ptr<replica> log_;
   admin_api api_;
   admin_forwarder forwarder_;
   configuration_source source_;
   load_turn_service turn_service_;
+  claim_service claim_service_;
 };
 
 }  // namespace
--- a/src/fake/engine_decode.cc
+++ b/src/fake/engine_decode.cc
@@ -36,7 +36,8 @@
   one.generated = body.value("offset", 0);
   one.order = ++arrivals;
   one.state = job_state::importing;
-  const std::int32_t tokens = one.prompt_tokens + one.max_tokens;
+  const std::int32_t tokens =
+      one.prompt_tokens + one.max_tokens - one.generated;
   const std::int32_t wanted =
       (tokens + options.piece_tokens - 1) / options.piece_tokens;
   if (!pieces.take(one, wanted)) {
@@ -58,10 +59,10 @@
     }
   };
   handlers.on_done = [this, id, head, status, started] {
-    end_import(id, *head, *status == 200, started);
+    end_import(id, *head, *status, started);
   };
   handlers.on_failure = [this, id, head, started](const http_failure&) {
-    end_import(id, *head, false, started);
+    end_import(id, *head, 0, started);
   };
   http_call_options call;
   call.address = body.value("from", "");
@@ -71,20 +72,20 @@
 }
 
 void engine::impl::end_import(const std::string& id, const std::string& head,
-                              bool whole, time_point started) {
+                              int status, time_point started) {
   job* one = find(id);
   if (one == nullptr) {
     return;
   }
   exchange_ptr exchange = std::move(one->stream);
   const auto meta = parse_json(head.substr(0, head.find('\n')));
-  if (!whole || !meta.ok()) {
-    const bool gone = meta.ok() && meta->count("error") > 0;
-    refuse(std::move(exchange), gone ? 410 : 502, "the transfer failed");
+  if (status != 200 || !meta.ok()) {
+    refuse(std::move(exchange), status == 410 ? 410 : 502,
+           "the transfer failed");
     forget(id);
     return;
   }
-  one->prompt = meta->value("prompt", "");
+  one->prompt = base_prompt(meta->value("prompt", ""), one->generated);
   one->state = job_state::running;
   const duration took = runtime_clock::now() - started;
   exchange->respond(json_response(
--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -134,6 +134,17 @@
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
   endpoint.init_asio(&loop_);
   endpoint.set_max_message_size(options_.max_frame_bytes);
+  // Frames are small and awaited: they don't wait for the last one's
+  // acknowledgement.
+  endpoint.set_tcp_post_init_handler([&endpoint](const connection_hdl& handle) {
+    websocketpp::lib::error_code error;
+    const auto connection = endpoint.get_con_from_hdl(handle, error);
+    if (!error) {
+      error_code ignored;
+      connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
+                                              ignored);
+    }
+  });
   endpoint.set_open_handshake_timeout(
       std::chrono::duration_cast<milliseconds>(options_.silence_limit).count());
 }
@@ -142,17 +153,20 @@
 void peer_hub::impl::attach(
     Endpoint& endpoint, session opened_session,
     const typename Endpoint::connection_ptr& connection) {
-  (void)endpoint;
   const std::uint64_t id = opened_session.id;
   opened_session.handle = connection->get_handle();
   opened_session.last_heard = runtime_clock::now();
   sessions_[id] = std::move(opened_session);
   const std::weak_ptr<impl> weak = weak_from_this();
-  connection->set_open_handler([weak, id](const connection_hdl& /*handle*/) {
-    if (const auto self = weak.lock()) {
-      self->opened(id);
-    }
-  });
+  connection->set_open_handler(
+      [weak, id, &endpoint](const connection_hdl& handle) {
+        if (const auto self = weak.lock()) {
+          // Frames are small and each matters at once.
+          endpoint.get_con_from_hdl(handle)->get_socket().set_option(
+              asio::ip::tcp::no_delay(true));
+          self->opened(id);
+        }
+      });
   connection->set_message_handler(
       [weak, id](const connection_hdl& /*handle*/,
                  const typename Endpoint::message_ptr& message) {
