Replicas answer polls with the changes of configuration under way alone

Cause: the default of replica::unapplied counts every kind, so that claims and turns on their way through the log made each replica look as if a change were under way.

--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -12,6 +12,7 @@
 #include "control/data_folder.h"
 #include "control/member_joiner.h"
 #include "control/replicated_log.h"
+#include "control/unapplied_commands.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -60,6 +61,9 @@
                      std::function<void(absl::Status)> done) override;
   absl::Status take_snapshot() override;
   replica_status status() const override;
+  std::uint64_t unapplied(const std::string& kind) const override {
+    return log_ ? unapplied_.count(*log_, kind) : 0;
+  }
   void subscribe(std::function<void()> on_change) override {
     subscribers_.push_back(std::move(on_change));
   }
@@ -88,6 +92,7 @@
   std::optional<data_folder> folder_;
   std::optional<replicated_log> log_;
   std::unique_ptr<member_joiner> joiner_;
+  mutable unapplied_commands unapplied_;  // caches what it decoded
   std::map<std::uint64_t, pending_proposal> proposals_;  // by index
   std::string removing_;                                 // replica id, or ""
   std::function<void(absl::Status)> removed_;
@@ -250,6 +255,7 @@
     }
     actions = log_->take_actions(now());
   }
+  unapplied_.machines_reached(log_->applied_index());
   end_proposals();
   finish_removal();
   joiner_->advance();
--- /dev/null
+++ b/src/control/unapplied_commands.cc
@@ -0,0 +1,37 @@
+#include "control/unapplied_commands.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronwharf {
+
+void unapplied_commands::machines_reached(std::uint64_t index) {
+  reached_ = index;
+  kinds_.erase(kinds_.begin(), kinds_.upper_bound(index));
+}
+
+// Decodes an entry once, since polls are many and documents may be large.
+const std::string& unapplied_commands::kind_of(const log_entry& entry) {
+  known_kind& known = kinds_[entry.index];
+  if (known.term != entry.term) {
+    known.term = entry.term;
+    known.kind =
+        entry.kind == entry_kind::command
+            ? nlohmann::json::from_cbor(entry.data.bytes).value("kind", "")
+            : "";
+  }
+  return known.kind;
+}
+
+std::uint64_t unapplied_commands::count(const replicated_log& log,
+                                        const std::string& kind) {
+  std::uint64_t found = 0;
+  for (std::uint64_t index = reached_ + 1; index <= log.stable_index();
+       ++index) {
+    // What a snapshot covers is not known: each may be of this kind.
+    const bool held = index >= log.first_index();
+    found += !held || kind_of(log.entry_at(index)) == kind ? 1 : 0;
+  }
+  return found;
+}
+
+}  // namespace citronwharf
