--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -15,6 +15,7 @@
 #include "control/proposal_table.h"
 #include "control/replica_status.h"
 #include "control/replicated_log.h"
+#include "control/unapplied_commands.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -62,6 +63,9 @@
                      std::function<void(absl::Status)> done) override;
   absl::Status take_snapshot() override;
   replica_status status() const override;
+  std::uint64_t unapplied(const std::string& kind) const override {
+    return log_ ? unapplied_.count(*log_, kind) : 0;
+  }
   void subscribe(std::function<void()> on_change) override {
     subscribers_.push_back(std::move(on_change));
   }
@@ -89,6 +93,7 @@
   std::optional<data_folder> folder_;
   std::optional<replicated_log> log_;
   std::unique_ptr<member_joiner> joiner_;
+  mutable unapplied_commands unapplied_;  // caches what it decoded
   proposal_table proposals_;
   std::string removing_;  // replica id, or ""
   std::function<void(absl::Status)> removed_;
@@ -239,6 +244,7 @@
     }
     actions = log_->take_actions(now());
   }
+  unapplied_.machines_reached(log_->applied_index());
   const bool leads = log_->role() == log_role::leader;
   proposals_.end_unknown(leads ? log_->state().term : 0, now());
   finish_removal();
