--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -95,7 +95,7 @@
   template <typename Endpoint>
   void prepare(Endpoint& endpoint);
   template <typename Endpoint>
-  void attach(Endpoint& endpoint, session opened,
+  void attach(session opened,
               const typename Endpoint::connection_ptr& connection);
 
   void opened(std::uint64_t id);
@@ -134,15 +134,25 @@
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
   endpoint.init_asio(&loop_);
   endpoint.set_max_message_size(options_.max_frame_bytes);
+  // Frames are small and awaited: they don't wait for the last one's
+  // acknowledgement.
+  endpoint.set_tcp_post_init_handler([&endpoint](const connection_hdl& handle) {
+    websocketpp::lib::error_code error;
+    const auto connection = endpoint.get_con_from_hdl(handle, error);
+    if (!error) {
+      error_code ignored;
+      connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
+                                              ignored);
+    }
+  });
   endpoint.set_open_handshake_timeout(
       std::chrono::duration_cast<milliseconds>(options_.silence_limit).count());
 }
 
 template <typename Endpoint>
 void peer_hub::impl::attach(
-    Endpoint& endpoint, session opened_session,
+    session opened_session,
     const typename Endpoint::connection_ptr& connection) {
-  (void)endpoint;
   const std::uint64_t id = opened_session.id;
   opened_session.handle = connection->get_handle();
   opened_session.last_heard = runtime_clock::now();
@@ -184,7 +194,7 @@
     }
     session accepted;
     accepted.id = next_id_++;
-    attach(server_, std::move(accepted), server_.get_con_from_hdl(handle));
+    attach<ws_server>(std::move(accepted), server_.get_con_from_hdl(handle));
     return true;
   });
   websocketpp::lib::error_code error;
@@ -239,7 +249,7 @@
   dialled.dialled = true;
   dialled.dial_target = address;
   target.session = dialled.id;
-  attach(client_, std::move(dialled), connection);
+  attach<ws_client>(std::move(dialled), connection);
   client_.connect(connection);
 }
 
