Name the failure that used up an export's life; cancels alone free in the test

The last failure of the transfer is kept and told. The cancel table let a prefill end by itself and passed without the cancel to the engine: prefill and export now outlast the test's limit.

--- a/src/endpoint/decode_door.cc
+++ b/src/endpoint/decode_door.cc
@@ -77,7 +77,7 @@
   const time_point now = runtime_clock::now();
   const time_point until = std::min(one.export_until, one.deadline);
   if (now >= until) {
-    finish(one, failure_reason::export_expired, false);
+    finish(one, one.last_failure, false);
     return;
   }
   const duration run =
@@ -86,6 +86,7 @@
       one.has_memory || desk_.start(key, one.pieces, now + run, now);
   if (!one.has_memory) {
     one.state = stream_state::waiting;
+    one.last_failure = failure_reason::no_memory;
     one.again_at = now + retry_wait;
     return;
   }
@@ -123,9 +124,10 @@
 
 void decode_door::retry_import(stream& one, failure_reason why) {
   const time_point now = runtime_clock::now();
+  const bool lost = why == failure_reason::engine_lost;
+  one.last_failure = lost ? failure_reason::transfer_failed : why;
   if (now + retry_wait >= std::min(one.export_until, one.deadline)) {
-    const bool lost = why == failure_reason::engine_lost;
-    finish(one, lost ? failure_reason::transfer_failed : why, true);
+    finish(one, one.last_failure, true);
     return;
   }
   one.state = stream_state::cancelling;
@@ -310,7 +312,7 @@
       finish(one, failure_reason::deadline, true);
     } else if (one.state == stream_state::cancelling &&
                now >= one.export_until) {
-      finish(one, failure_reason::transfer_failed, true);
+      finish(one, one.last_failure, true);
     } else if (one.state == stream_state::waiting && now >= one.again_at) {
       import(one);
     } else if (one.state == stream_state::running && !one.call &&
--- a/src/endpoint/decode_door.h
+++ b/src/endpoint/decode_door.h
@@ -40,6 +40,8 @@
     std::int32_t pieces = 0;
     bool has_memory = false;
     bool ran = false;
+    /// Why there is no transfer yet, told when the export's life is over.
+    failure_reason last_failure = failure_reason::export_expired;
     int reattached = 0;  ///< times without a token between
     time_point export_until{};
     time_point deadline{};
--- a/test/endpoint-fault-test.cc
+++ b/test/endpoint-fault-test.cc
@@ -163,12 +163,15 @@
 // Cancels at a moment of the request's life and waits for the memory.
 BOOST_AUTO_TEST_CASE(a_cancel_frees_memory_in_every_stage) {
   fake::engine_options slow = quick_engine();
-  slow.prefill_base = milliseconds(50);
   slow.token_interval = milliseconds(20);
   slow.link_bytes_per_second = 200'000;
   for (const std::string stage : {"reserved", "prefilling", "exported",
                                   "importing", "decoding", "finished"}) {
     BOOST_TEST_CONTEXT(stage) {
+      // Nothing but the cancel frees in time.
+      slow.prefill_base =
+          stage == "prefilling" ? seconds(15) : milliseconds(50);
+      slow.export_life = seconds(60);
       endpoint_world world(slow);
       const work_header header = world.entry->header(1);
       const attempt_key key = header.key;
