--- a/test/caller_world.cc
+++ b/test/caller_world.cc
@@ -253,7 +253,7 @@
   return run_until(loop, holds);
 }
 
-std::unique_ptr<caller_call> caller_world::call(http_request in) {
+std::unique_ptr<caller_call> caller_world::call(const http_request& in) {
   auto out = std::make_unique<caller_call>();
   caller_call* self = out.get();
   http_call_handlers handlers;
@@ -269,8 +269,8 @@
   return out;
 }
 
-std::unique_ptr<caller_call> caller_world::finish(http_request in) {
-  auto out = call(std::move(in));
+std::unique_ptr<caller_call> caller_world::finish(const http_request& in) {
+  auto out = call(in);
   until([&] { return out->over; });
   return out;
 }
--- a/test/caller_world.h
+++ b/test/caller_world.h
@@ -109,9 +109,9 @@
                         duration fresh_for_in = seconds(3600));
 
   // Starts a call; follow it by until().
-  std::unique_ptr<caller_call> call(http_request in);
+  std::unique_ptr<caller_call> call(const http_request& in);
   // Calls and waits for the end.
-  std::unique_ptr<caller_call> finish(http_request in);
+  std::unique_ptr<caller_call> finish(const http_request& in);
   bool until(const std::function<bool()>& holds);
   // Puts the desired configuration in force and confirms it for fresh_for.
   void apply();
--- a/test/entry-caller-test.cc
+++ b/test/entry-caller-test.cc
@@ -193,6 +193,7 @@
 BOOST_AUTO_TEST_CASE(twenty_callers_get_their_own_answers) {
   caller_world world;
   std::vector<std::unique_ptr<caller_call>> calls;
+  calls.reserve(20);
   for (int index = 0; index < 20; ++index) {
     calls.push_back(world.call(caller_world::post(
         "summary", ask(fmt::format("prompt {}", index), 40, index % 2 == 0))));
--- a/test/life_world.cc
+++ b/test/life_world.cc
@@ -427,7 +427,7 @@
   at(token_time_, [this, name, key = out.key] { generate(name, key); });
 }
 
-void life_world::generate(const std::string& name, attempt_key key) {
+void life_world::generate(const std::string& name, const attempt_key& key) {
   node& one = nodes_[name];
   const auto stream = one.streams.find(key);
   if (stream == one.streams.end()) {
--- a/test/life_world.h
+++ b/test/life_world.h
@@ -108,7 +108,7 @@
   void serve_resume(const std::string& name, const resume_request& in);
   void serve_plain(const std::string& name, const plain_request& in,
                    std::optional<fault_kind> struck);
-  void generate(const std::string& name, attempt_key key);
+  void generate(const std::string& name, const attempt_key& key);
   void claim_and_sweep();
   life_actions session_event(const std::string& name, std::uint64_t up);
   bool finished() const;
