--- a/src/entry/active_request.cc
+++ b/src/entry/active_request.cc
@@ -21,13 +21,13 @@
   return nlohmann::json(service).get<std::string>();
 }
 
+}  // namespace
+
 std::string request_name(const process_context& process, std::uint64_t number) {
   return fmt::format("{}-{:x}-{}", process.options.process, process.incarnation,
                      number);
 }
 
-}  // namespace
-
 active_request::active_request(entry_context& context, accepted_request in,
                                std::unique_ptr<http_exchange> exchange,
                                active_span root)
--- a/src/entry/active_request.h
+++ b/src/entry/active_request.h
@@ -18,6 +18,9 @@
 
 namespace citronwharf {
 
+/// Returns the X-Request-Id of a request of this process. Thread-safe.
+std::string request_name(const process_context& process, std::uint64_t number);
+
 /// What a request starts with, once it is read and its route is known.
 struct accepted_request {
   std::uint64_t number = 0;  ///< counted by this incarnation of the entry
--- a/src/entry/active_request_actions.cc
+++ b/src/entry/active_request_actions.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "entry/active_request.h"
+#include "observe/event.h"
 
 namespace citronwharf {
 namespace {
@@ -208,6 +209,11 @@
                 {{"reason", why->reason},
                  {"within_rate", why->within_rate ? "yes" : "no"}});
   }
+  const bool left = why && why->reason == reasons::caller_left;
+  if (why && outcome == request_outcome::unknown && !left) {
+    log_event(events::outcome_unknown, relay_.request_id(), in_.call.to.name,
+              why->reason);
+  }
   root_.set("outcome", to_string(outcome));
   if (why) {
     root_.set("reason", why->reason);
--- a/src/entry/entry_role.cc
+++ b/src/entry/entry_role.cc
@@ -249,8 +249,7 @@
     process_.metrics.add("citronwharf_refusals_total",
                          {{"reason", why.reason},
                           {"within_rate", why.within_rate ? "yes" : "no"}});
-    to.respond(problem_response(
-        process_.options.process + "-" + std::to_string(number), why));
+    to.respond(problem_response(request_name(process_, number), why));
   }
 
   active_request* find(std::uint64_t number) {
