Let the level fall also when a promise left little memory

Cause: refusals alone moved the level, so it was set for a third of requests to be refused by their first endpoint, and that met all organisations alike. Change: an outcome counts as full when the endpoint refused or had less than 5 % of its memory left.

--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -14,6 +14,7 @@
 
 constexpr duration warm_up = seconds(5);  // not counted
 constexpr duration drain = seconds(15);   // after the last arrival
+constexpr double least_room = 0.05;       // of an endpoint's memory
 constexpr int most_tries = 2;             // decode endpoints asked in turn
 inline const std::vector<double>& organisation_weights() {
   static const std::vector<double> weights = {4, 3, 1, 1, 1};
@@ -204,6 +205,10 @@
     return shares_[way_.oracle ? 0 : std::size_t(r.entry)];
   }
 
+  static bool has_room(const decode_endpoint& d) {
+    return d.book->free() >= pieces_total * least_room;
+  }
+
   // Entry: asks a decode endpoint for memory by the end of the prefill.
   void reserve(id_type id) {
     request& r = of(id);
@@ -285,7 +290,7 @@
   void granted(id_type id) {
     request& r = of(id);
     placement& by = entry_of(r);
-    shares_of(r).outcome(true, now_);
+    shares_of(r).outcome(has_room(decode_of(r)), now_);
     reply(r, decode_of(r));
     look_everywhere(by);
     placement_query asked = query_of(r, "prefill");
--- a/src/policy/fair_share.h
+++ b/src/policy/fair_share.h
@@ -14,7 +14,7 @@
   /// The level moves by these shares of itself with each outcome, so that
   /// rise / (rise + fall) of what is admitted meets a full endpoint.
   double rise = 0.01;
-  double fall = 0.02;
+  double fall = 0.01;
 };
 
 /// The answer to an offer.
