--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -13,20 +13,12 @@
 #include <vector>
 
 #include "base/process_context.h"
+#include "control/disk.h"
 #include "control/state_machine.h"
+#include "wire/log_messages.h"
 
 namespace citronwharf {
 
-/// A member of the log's group. The id is drawn when the data folder is made,
-/// so that a VM that lost its disk comes back as another replica.
-struct replica_member {
-  std::string id;
-  std::string process;  ///< process name, for the peer session
-  std::string address;  ///< "ip:port" for peers
-  bool voter = false;   ///< learners do not vote
-};
-CITRONWHARF_VALUE(replica_member, id, process, address, voter)
-
 /// What a replica says of itself.
 struct replica_status {
   std::string id;    ///< "" before the group is made or joined
@@ -92,11 +84,31 @@
   virtual absl::Status take_snapshot() = 0;
 
   virtual replica_status status() const = 0;
+  /// Returns how many commands of this kind stand in the synced log after the
+  /// applied ones, committed or not. At most that many more changes can this
+  /// log lead to. The default counts commands of every kind, which is safe but
+  /// makes a busy log look as if changes were always under way.
+  virtual std::uint64_t unapplied(const std::string& /*kind*/) const {
+    const replica_status now = status();
+    return now.last_index - now.applied_index;
+  }
   /// Calls `on_change` after entries were synced, committed or applied, and
   /// when leader or members change. For the life of the replica.
   virtual void subscribe(std::function<void()> on_change) = 0;
 };
 
+/// What a replica works with. All of it outlives the replica.
+struct replica_environment {
+  boost::asio::io_context& loop;
+  const settings& options;  ///< process, deployment, data_folder, addresses
+  peer_hub& peers;
+  disk_operations disk;
+};
+
+/// Makes a replica. Precondition: the environment and the machines outlive it.
+std::unique_ptr<replica> make_replica(replica_environment environment,
+                                      replica::machines machines);
+
 /// Makes a replica over the process's data folder. Preconditions: `process`
 /// and the machines outlive it.
 std::unique_ptr<replica> make_replica(process_context& process,
