--- a/src/control/configuration_follower.cc
+++ b/src/control/configuration_follower.cc
@@ -193,7 +193,9 @@
       return;  // of an earlier fetch
     }
     try {
+      // Version by version: who was home of an allowance in between matters.
       for (const nlohmann::json& change : changes.changes) {
+        process_.view.replace(next);
         next = merge_document(next, change, document_mode::partial);
         ++next.version;
       }
