--- a/src/entry/entry_role.cc
+++ b/src/entry/entry_role.cc
@@ -102,7 +102,11 @@
     check_drained();
   }
 
-  bool ready() const override { return accepting_; }
+  // An entry that is not fresh refuses keyed routes: a balancer should send
+  // its callers to another one.
+  bool ready() const override {
+    return accepting_ && process_.view.fresh(runtime_clock::now());
+  }
 
   std::map<std::string, std::uint16_t> ports() const override {
     return {{"callers", port_}};
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -2,6 +2,8 @@
 #include "base/settings.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <filesystem>
 #include <set>
 
 using namespace citronwharf;  // NOLINT(google-build-using-namespace)
@@ -72,3 +74,16 @@
     BOOST_TEST(pointers.count(pointer) == 1U, pointer);
   }
 }
+
+BOOST_AUTO_TEST_CASE(the_deployments_examples_are_good) {
+  const char* source = std::getenv("CITRONWHARF_SOURCE");
+  const std::string folder =
+      std::string(source == nullptr ? "." : source) + "/examples/settings";
+  int checked = 0;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    const auto loaded = load_settings(file.path().string());
+    BOOST_TEST(loaded.ok(), file.path() << ": " << loaded.status().message());
+    ++checked;
+  }
+  BOOST_TEST(checked == 4);
+}
--- a/test/system-requests-test.cc
+++ b/test/system-requests-test.cc
@@ -106,7 +106,15 @@
   deployment& system = running.system;
   call_under_way call(running, "vm-3");
   wait_decoding(system);
+  const auto ready = [&] {
+    http_call_options options;
+    options.address = system.address("vm-3", "admin");
+    const auto answer = fetch_blocking(options, {"GET", "/readyz", {}, "", ""});
+    return answer.ok() ? answer->status : 0;
+  };
+  BOOST_TEST(ready() == 200);
   system.process("vm-3").send_signal(SIGTERM);
+  BOOST_TEST(wait_until([&] { return ready() == 503; }));
   BOOST_TEST(call.text() == fake::fake_answer(prompt, tokens));
   BOOST_TEST(system.process("vm-3").wait() == 0);
 }
