--- a/test/control-system-test.cc
+++ b/test/control-system-test.cc
@@ -16,17 +16,7 @@
 // The bound of "within seconds", from the answer to the operator.
 constexpr std::chrono::seconds bound(5);
 
-struct running_system {
-  running_system() {
-    system.start_vm("vm-1", "izmir-a");
-    system.start_vm("vm-2", "izmir-b");
-    system.start_vm("vm-3", "izmir-c");
-    system.start_endpoints();
-    system.apply(system.configuration());
-    key = system.create_key("k1", "importers");
-    BOOST_REQUIRE(system.wait_served(key));
-  }
-
+struct control_system : running_system {
   json tool_json(std::vector<std::string> arguments) const {
     arguments.insert(arguments.begin(), "--json");
     return json::parse(system.tool(arguments).output, nullptr, false);
@@ -71,15 +61,12 @@
     }
     return "";
   }
-
-  deployment system;
-  std::string key;
 };
 
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(operators_and_lost_answers) {
-  running_system running;
+  control_system running;
   const std::uint64_t base = running.version();
 
   // One after the other under equal numbers: the loser learns by whom.
@@ -111,7 +98,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(withdrawn_keys_stop_within_the_bound) {
-  running_system running;
+  control_system running;
   const std::string second = running.system.create_key("k2", "importers");
   BOOST_REQUIRE(wait_until([&] {
     return running.status("vm-1", second) == 200 &&
--- a/test/entry-claims-system-test.cc
+++ b/test/entry-claims-system-test.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-struct running_system {
-  running_system() {
+struct claims_system {
+  claims_system() {
     system.start_vm("vm-1", "izmir-a");
     system.start_vm("vm-2", "izmir-b");
     system.start_vm("vm-3", "izmir-c");
@@ -57,7 +57,7 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(a_commit_runs_once_whoever_is_killed) {
-  running_system running;
+  claims_system running;
   deployment& system = running.system;
 
   // The stored answer is given by each entry.
