--- a/src/control/configuration_machine.cc
+++ b/src/control/configuration_machine.cc
@@ -35,9 +35,12 @@
     for (const json& item : document.value(list, json::array())) {
       const auto name = item.at(name_member(list)).get<std::string>();
       const auto& items = in.*member;
-      const bool there = std::any_of(
-          items.begin(), items.end(),
-          [&](const auto& known) { return name_of_item(known) == name; });
+      const auto place =
+          std::lower_bound(items.begin(), items.end(), name,
+                           [](const auto& known, const std::string& wanted) {
+                             return name_of_item(known) < wanted;
+                           });
+      const bool there = place != items.end() && name_of_item(*place) == name;
       any = any || there;
       all = all && there;
     }
