--- a/test/endpoint-role-test.cc
+++ b/test/endpoint-role-test.cc
@@ -67,3 +67,20 @@
   BOOST_TEST(!world.entry->gap);
   BOOST_TEST(world.memory_is_free());
 }
+
+BOOST_AUTO_TEST_CASE(refusals_and_memory_are_counted) {
+  endpoint_world world;
+  work_header stale = world.entry->header(1);
+  stale.endpoint_incarnation = 99;
+  world.entry->send("decode-1", reserve_request{stale, 300, 20, 0});
+  BOOST_REQUIRE(world.until([&] { return !world.entry->reserved.empty(); }));
+  world.run_for(milliseconds(150));
+  const std::string page = world.node("decode-1").metrics.page();
+  for (const char* line :
+       {"citronwharf_endpoint_refusals_total{reason=\"wrong_incarnation\"} 1",
+        "citronwharf_endpoint_pieces_held 0",
+        "citronwharf_endpoint_pieces_free 320",
+        "citronwharf_endpoint_waiting 0"}) {
+    BOOST_TEST(page.find(line) != std::string::npos, line);
+  }
+}
--- a/test/endpoint-rules-test.cc
+++ b/test/endpoint-rules-test.cc
@@ -133,7 +133,10 @@
   BOOST_REQUIRE(world.start_request(1, "p", 30));
   const attempt_key key = world.entry->key(1);
   bool drained = false;
-  world.node("decode-1").role->drain([&] { drained = true; });
+  world.node("decode-1").role->drain([&] {
+    drained = true;
+    BOOST_TEST(world.decode_engine.held() == 0U);
+  });
   BOOST_TEST(!world.node("decode-1").role->ready());
   BOOST_REQUIRE(world.until([&] { return drained; }));
   BOOST_REQUIRE(world.until([&] { return world.end_of(key) != nullptr; }));
