--- a/src/control/control_role.cc
+++ b/src/control/control_role.cc
@@ -16,6 +16,7 @@
 #include "control/configuration_machine.h"
 #include "control/configuration_source.h"
 #include "control/key.h"
+#include "control/load_turn_service.h"
 #include "control/replica.h"
 #include "entry/claims.h"
 #include "observe/event.h"
@@ -63,11 +64,13 @@
   explicit control_role(process_context& process)
       : process_(process),
         log_(make_replica(process, {{configuration_command::kind, &machine_},
+                                    {turn_command::kind, &turns_},
                                     {claim_command::kind, &claims_},
                                     {"barrier", &barrier_}})),
         api_(*log_, machine_),
         forwarder_(process, api_),
         source_(process, *log_, machine_),
+        turn_service_(process, *log_, turns_, source_),
         claim_service_(process, *log_, system_wall_clock()) {}
 
   absl::Status start() override {
@@ -136,6 +139,7 @@
 
   process_context& process_;
   configuration_machine machine_;
+  load_turns turns_{machine_};
   barrier_machine barrier_;
   claims claims_;
   std::string token_digest_;
@@ -143,6 +147,7 @@
   admin_api api_;
   admin_forwarder forwarder_;
   configuration_source source_;
+  load_turn_service turn_service_;
   claim_service claim_service_;
 };
 
--- a/src/entry/active_request.cc
+++ b/src/entry/active_request.cc
@@ -21,13 +21,13 @@
   return nlohmann::json(service).get<std::string>();
 }
 
+}  // namespace
+
 std::string request_name(const process_context& process, std::uint64_t number) {
   return fmt::format("{}-{:x}-{}", process.options.process, process.incarnation,
                      number);
 }
 
-}  // namespace
-
 active_request::active_request(entry_context& context, accepted_request in,
                                std::unique_ptr<http_exchange> exchange,
                                active_span root)
@@ -67,10 +67,11 @@
 }
 
 void active_request::allowed(const allowance_decision& decision) {
+  charge_id_ = allowance_id_;
   allowance_id_ = 0;
   if (ended_) {
     if (decision.granted) {
-      context_.allowances.give_back(in_.caller.organisation, cost_of(in_.call));
+      context_.allowances.give_back_of(charge_id_, cost_of(in_.call));
     }
     return;
   }
--- a/src/entry/active_request.h
+++ b/src/entry/active_request.h
@@ -18,6 +18,9 @@
 
 namespace citronwharf {
 
+/// Returns the X-Request-Id of a request of this process. Thread-safe.
+std::string request_name(const process_context& process, std::uint64_t number);
+
 /// What a request starts with, once it is read and its route is known.
 struct accepted_request {
   std::uint64_t number = 0;  ///< counted by this incarnation of the entry
@@ -89,6 +92,7 @@
   time_point armed_for_{};
   bool waits_ = true;  ///< holds a place in the waiting room
   bool ended_ = false;
+  std::uint64_t charge_id_ = 0;     ///< the granted acquire
   std::uint64_t allowance_id_ = 0;  ///< 0 when none is waited for
   std::uint64_t claim_id_ = 0;      ///< 0 when none is waited for
   bool claimed_ = false;            ///< the claim is to be finished
