--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include "policy_allowance.h"
 #include "policy_report.h"
 #include "policy_run.h"
 
@@ -13,6 +14,8 @@
 DEFINE_string(only, "", "run only the policies whose name contains this");
 DEFINE_string(deployment, "", "birligi or ratumaibulu, both when empty");
 DEFINE_double(seconds, 40, "length of each run in virtual time");
+DEFINE_bool(allowances, true, "compare the ways of holding an allowance");
+DEFINE_bool(policies, true, "compare placement, promises and queues");
 DEFINE_string(plot, "", "write the plot of the first deployment here");
 
 namespace citronwharf::bench {
@@ -70,6 +73,25 @@
   return all;
 }
 
+// An organisation within its rate, over three entries.
+void compare_allowances() {
+  fmt::print(
+      "\n| requests at the first entry | equal split refused % | one "
+      "home refused % |\n|---|---|---|\n");
+  for (const double skew : {0.33, 0.5, 0.8}) {
+    allowance_result sum;
+    for (const std::uint64_t seed : seeds()) {
+      const auto run = compare_allowances(seed, skew, seconds(600));
+      sum.offered += run.offered;
+      sum.split_refused += run.split_refused;
+      sum.home_refused += run.home_refused;
+    }
+    fmt::print("| {:.0f} % | {:.2f} | {:.2f} |\n", skew * 100,
+               100.0 * sum.split_refused / sum.offered,
+               100.0 * sum.home_refused / sum.offered);
+  }
+}
+
 void sweep() {
   std::vector<report_line> lines;
   const std::vector<deployment> sizes = deployments();
@@ -97,6 +119,7 @@
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  citronwharf::bench::sweep();
+  if (FLAGS_allowances) citronwharf::bench::compare_allowances();
+  if (FLAGS_policies) citronwharf::bench::sweep();
   return 0;
 }
