--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -74,7 +74,7 @@
 }
 
 // An organisation within its rate, over three entries.
-void compare_allowances() {
+void print_allowances() {
   fmt::print(
       "\n| requests at the first entry | equal split refused % | one "
       "home refused % |\n|---|---|---|\n");
@@ -119,7 +119,7 @@
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (FLAGS_allowances) citronwharf::bench::compare_allowances();
+  if (FLAGS_allowances) citronwharf::bench::print_allowances();
   if (FLAGS_policies) citronwharf::bench::sweep();
   return 0;
 }
--- a/test/allowance-system-test.cc
+++ b/test/allowance-system-test.cc
@@ -22,6 +22,7 @@
 constexpr double rate = 200;
 constexpr double burst = 400;
 constexpr int cost = 10;
+constexpr int flooders = 12;
 constexpr int ok_status = 200;
 constexpr int too_many_requests = 429;
 
@@ -64,6 +65,7 @@
 void check_bound(const std::vector<served_call>& served) {
   for (const served_call& from : served) {
     std::vector<steady::time_point> ends;
+    ends.reserve(served.size());
     for (const served_call& each : served) {
       if (each.sent >= from.sent) ends.push_back(each.answered);
     }
@@ -109,7 +111,8 @@
   tally flood;
   tally quiet;
   std::vector<std::thread> threads;
-  for (int number = 0; number < 12; ++number) {
+  threads.reserve(flooders + 1);
+  for (int number = 0; number < flooders; ++number) {
     threads.emplace_back([&, number] {
       const std::string vm = fmt::format("vm-{}", number % 3 + 1);
       while (!stop) {
