An ask at an allowance home out of reach is refused at once

Cause: with its home lost a request waited for its deadline and only then got its refusal, which the users do not accept. Ruled out: refusing whenever a home is silent, since a home in reach says nothing while tokens accrue. Change: the service tells the leases which homes are in reach; an ask whose home stays away for a second is refused with the time at which a restarted home grants again. allowance-home-test has the case a_lost_home_is_refused_for_at_once.

--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -19,6 +19,7 @@
 #include "daemon/health.h"
 #include "endpoint/endpoint_role.h"
 #include "entry/entry_role.h"
+#include "net/address.h"
 #include "net/handshake.h"
 #include "observe/event.h"
 
@@ -99,6 +100,10 @@
       return port.status();
     }
     ports["peers"] = *port;
+    // Other VMs learn this address from the roles: it names the bound port.
+    const auto asked = parse_address(options_.listen.peers);
+    options_.listen.peers =
+        fmt::format("{}:{}", asked->address().to_string(), *port);
     for (const std::string& seed : options_.control.seeds) {
       peers_->connect_address(seed);
     }
--- a/src/entry/allowance_service.cc
+++ b/src/entry/allowance_service.cc
@@ -118,6 +118,11 @@
     hub.on<allowance_grant>([this](const peer_id& from, const auto& in) {
       perform(leases_.on_grant(from.name, in, runtime_clock::now()));
     });
+    hub.on_session([this](const peer_id& peer, bool up) {
+      if (members_.count(peer.name) == 0) return;
+      leases_.home_reachable(peer.name, up, runtime_clock::now());
+      arm();
+    });
     hub.on<allowance_refusal>([this](const peer_id& from, const auto& in) {
       perform(leases_.on_refusal(from.name, in, runtime_clock::now()));
     });
@@ -145,6 +150,8 @@
       names.insert(each.name);
       if (each.name == process_.options.process) continue;
       process_.peers.connect(each.name, each.address);
+      const bool up = process_.peers.session_incarnation(each.name) != 0;
+      leases_.home_reachable(each.name, up, runtime_clock::now());
     }
     if (names == members_) return;
     members_ = std::move(names);
--- a/src/policy/allowance_lease.cc
+++ b/src/policy/allowance_lease.cc
@@ -8,8 +8,9 @@
 
 // Sums of doubles differ from the true sum by less than this.
 constexpr double rounding_tokens = 1e-6;
-// Told when the home did not answer in time.
-constexpr duration silent_home_retry = seconds(1);
+// Told when the home did not answer: a home that restarts grants again after
+// about so long.
+constexpr duration silent_home_retry = seconds(4);
 
 lease_answer granted(std::uint64_t id) {
   return {id, true, true, duration::zero()};
@@ -211,6 +212,21 @@
   return out;
 }
 
+void allowance_leases::home_reachable(const std::string& home, bool up,
+                                      time_point now) {
+  if (up) {
+    lost_.erase(home);
+  } else {
+    lost_.emplace(home, now);
+  }
+}
+
+time_point allowance_leases::given_up_at(const pending_ask& ask) const {
+  const auto lost = lost_.find(ask.home);
+  if (lost == lost_.end()) return ask.deadline;
+  return std::min(ask.deadline, lost->second + options_.unreachable_limit);
+}
+
 lease_actions allowance_leases::tick(time_point now) {
   lease_actions out;
   for (auto each = leases_.begin(); each != leases_.end();) {
@@ -224,7 +240,7 @@
   std::vector<pending_ask> moved;
   for (auto each = asks_.begin(); each != asks_.end();) {
     pending_ask& ask = each->second;
-    if (now >= ask.deadline) {
+    if (now >= given_up_at(ask)) {
       out.emplace_back(
           lease_answer{ask.acquire, false, true, silent_home_retry});
       drop(each->first);
@@ -254,7 +270,7 @@
   };
   for (const auto& [organisation, each] : leases_) consider(each.ends);
   for (const auto& [id, each] : asks_) {
-    consider(std::min(each.deadline, each.last_sent + options_.resend));
+    consider(std::min(given_up_at(each), each.last_sent + options_.resend));
   }
   return next;
 }
--- a/src/policy/allowance_lease.h
+++ b/src/policy/allowance_lease.h
@@ -23,6 +23,8 @@
   std::int64_t margin_divisor = 50;
   /// A lease covers up to this many times the need of one request.
   double prefetch = 16;
+  /// An ask is refused when its home has been out of reach for so long.
+  duration unreachable_limit = seconds(1);
   std::size_t most_charges = 16384;  ///< remembered, for what is given back
   std::size_t most_dropped = 1024;   ///< remembered, to give late grants back
 };
@@ -67,6 +69,9 @@
                          time_point now);
   lease_actions on_refusal(const std::string& home, const allowance_refusal& in,
                            time_point now);
+  /// A home came into reach or was lost; homes not named are in reach. Its
+  /// asks are refused at once when it stays away.
+  void home_reachable(const std::string& home, bool up, time_point now);
   /// Sends asks again, ends leases, refuses what is too late.
   lease_actions tick(time_point now);
   /// Returns when tick() is due next.
@@ -112,6 +117,9 @@
                             time_point now);
   static lease_send settle_of(const std::string& organisation,
                               const lease& over);
+  // Returns when the ask is given up: at its deadline, or sooner when its home
+  // stays out of reach.
+  time_point given_up_at(const pending_ask& ask) const;
   void drop(std::uint64_t ask_id);
   void keep(const std::string& organisation, lease next, lease_actions& out);
 
@@ -123,6 +131,7 @@
   std::set<std::uint64_t> dropped_;            // asks that nobody waits for
   std::map<std::string, lease> leases_;        // by organisation
   std::map<std::uint64_t, charge> charges_;    // by acquire id
+  std::map<std::string, time_point> lost_;     // homes out of reach, since when
 };
 
 }  // namespace citronwharf
--- a/test/allowance-home-test.cc
+++ b/test/allowance-home-test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
+#include "policy/allowance_lease.h"
 #include "policy/home_assignment.h"
 
 using namespace citronwharf;
@@ -161,3 +162,36 @@
   at_a.configure(members(4, {"a"}), now + seconds(60));
   BOOST_TEST((at_a.starts_at(kept) == now + seconds(60) + wait));
 }
+
+// A request that is given up on is told at once, not at its deadline.
+BOOST_AUTO_TEST_CASE(a_lost_home_is_refused_for_at_once) {
+  struct row {
+    bool comes_back;
+    duration lost_for;  // before the ask
+  };
+  for (const row& each : std::vector<row>{
+           {false, seconds(0)}, {false, seconds(60)}, {true, seconds(0)}}) {
+    allowance_leases leases({}, [](const std::string&) { return "a"; });
+    time_point now = start_time;
+    leases.home_reachable("a", false, now);
+    now += each.lost_for;
+    const time_point asked = now;
+    leases.acquire(1, "o", 10, asked + seconds(30), now);
+    if (each.comes_back) leases.home_reachable("a", true, now);
+    std::optional<lease_answer> answer;
+    while (!answer && now < asked + seconds(31)) {
+      now = std::max(now + milliseconds(1), *leases.next_tick());
+      for (const lease_action& action : leases.tick(now)) {
+        const auto* said = std::get_if<lease_answer>(&action);
+        if (said != nullptr) answer = *said;
+      }
+    }
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(!answer->granted);
+    BOOST_TEST(answer->retry_after.count() > 0);
+    const duration waited = now - asked;
+    // In reach, a silent home may be waiting for tokens to accrue.
+    BOOST_TEST((each.comes_back ? waited >= seconds(30)
+                                : waited <= seconds(1) + milliseconds(1)));
+  }
+}
