log_actions-test: votes within a term, members before the own term

Cause: 'vote not written' and 'members changed before an entry of the own term' still passed all tests with their guard removed in a scratch copy: the first case always wrote a new term with the vote, the second was refused for another reason. Change: both cases now start where only that guard helps.

--- a/test/log_actions-test.cc
+++ b/test/log_actions-test.cc
@@ -73,14 +73,17 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(a_vote_is_synced_before_it_is_given_and_given_once) {
-  lone_replica a;
-  a.receive("b", vote_request{a.from("b", 3), false, 2, 2});
-  BOOST_TEST((a.batch.state == hard_state{"g", 3, "b"}));
-  BOOST_TEST(!a.last<vote_reply>());
-  a.sync();
-  BOOST_TEST(a.last<vote_reply>()->granted);
-  a.receive("c", vote_request{a.from("c", 3), false, 2, 2});
-  BOOST_TEST(!a.last<vote_reply>()->granted);
+  // In the term that is on the disk already, and in a newer one.
+  for (const std::uint64_t term : {2, 3}) {
+    lone_replica a;
+    a.receive("b", vote_request{a.from("b", term), false, 2, 2});
+    BOOST_TEST((a.batch.state == hard_state{"g", term, "b"}));
+    BOOST_REQUIRE(!a.last<vote_reply>());
+    a.sync();
+    BOOST_TEST(a.last<vote_reply>()->granted);
+    a.receive("c", vote_request{a.from("c", term), false, 2, 2});
+    BOOST_TEST(!a.last<vote_reply>()->granted);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(no_vote_for_a_log_that_lacks_entries) {
@@ -158,6 +161,9 @@
 
 BOOST_AUTO_TEST_CASE(members_wait_for_an_entry_of_the_leaders_own_term) {
   lone_replica a;
+  // The present members are known to be committed.
+  a.receive("c", append_request{a.from("c", 2), 1, 2, 2, 2, {}});
+  BOOST_TEST(a.log->commit_index() == 2U);
   a.win_pre_vote();
   a.sync();
   a.receive("b", vote_reply{a.from("b", 3), false, true});
