--- a/bench/control.cc
+++ b/bench/control.cc
@@ -269,10 +269,10 @@
       std::chrono::steady_clock::now() - change_started;
   const double busy = processor_seconds() - change_begin;
   const double one_change = std::max(0.0, (busy - idle * took.count()) / 3);
-  std::fflush(stdout);
   fmt::print("{:>7}  {:>9.2f}  {:>14.3f}  {:>16.3f}  {:>12.2f}\n", count,
              joined.count(), idle * 1e3 / static_cast<double>(count),
              one_change * 1e3 / static_cast<double>(count), took.count() / 3);
+  std::fflush(stdout);
 }
 
 }  // namespace
--- a/src/control/configuration_source.cc
+++ b/src/control/configuration_source.cc
@@ -6,7 +6,9 @@
 namespace citronwharf {
 namespace {
 
-constexpr std::size_t snapshot_part_bytes = 512U << 10U;
+constexpr std::size_t snapshot_part_bytes = 128U << 10U;
+// Between two parts, for what else the loop has to do.
+constexpr duration part_pause = milliseconds(1);
 // More deltas than this travel as a snapshot.
 constexpr std::size_t most_changes_sent = 200;
 
@@ -25,7 +27,10 @@
 configuration_source::configuration_source(process_context& process,
                                            replica& log,
                                            const configuration_machine& machine)
-    : process_(process), log_(log), machine_(machine) {
+    : process_(process),
+      log_(log),
+      machine_(machine),
+      part_timer_(process.loop) {
   process_.peers.on<config_poll>(
       [this](const peer_id& from, const config_poll& poll) {
         answer_poll(from, poll);
@@ -78,7 +83,7 @@
                                         const config_fetch& fetch) {
   auto changes = machine_.changes_since(fetch.version);
   if (!changes || changes->size() > most_changes_sent) {
-    send_snapshot(from.name);
+    queue_snapshot(from.name);
     return;
   }
   if (!changes->empty()) {
@@ -89,25 +94,48 @@
   }
 }
 
-void configuration_source::send_snapshot(const std::string& to) {
+void configuration_source::queue_snapshot(const std::string& to) {
+  const auto same = [&](const snapshot_under_way& in) { return in.to == to; };
+  if (std::any_of(snapshots_.begin(), snapshots_.end(), same)) {
+    return;
+  }
   const configuration& current = machine_.current();
-  if (text_version_ != current.version) {
-    text_ = nlohmann::json(current).dump();
-    text_version_ = current.version;
+  if (!text_ || text_->version != current.version) {
+    text_ = std::make_shared<const snapshot_text>(
+        snapshot_text{current.version, nlohmann::json(current).dump()});
   }
-  const std::size_t parts =
-      (text_.size() + snapshot_part_bytes - 1) / snapshot_part_bytes;
-  for (std::size_t part = 0; part < parts; ++part) {
-    const absl::Status sent = process_.peers.send(
-        to,
-        make_frame(config_snapshot_part{
-            current.version, static_cast<std::uint32_t>(part),
-            static_cast<std::uint32_t>(parts),
-            text_.substr(part * snapshot_part_bytes, snapshot_part_bytes)}));
-    if (!sent.ok()) {
-      return;  // the process fetches again
-    }
+  snapshots_.push_back({to, text_, 0});
+  if (snapshots_.size() == 1) {
+    send_next_part();
+  }
+}
+
+// Sends a part a turn of the loop, one snapshot after the other, so that
+// sessions are not silent for long while many processes need one.
+void configuration_source::send_next_part() {
+  snapshot_under_way& first = snapshots_.front();
+  const std::string& text = first.text->json;
+  const auto parts = static_cast<std::uint32_t>(
+      (text.size() + snapshot_part_bytes - 1) / snapshot_part_bytes);
+  const absl::Status sent = process_.peers.send(
+      first.to,
+      make_frame(config_snapshot_part{
+          first.text->version, first.next, parts,
+          text.substr(first.next * snapshot_part_bytes, snapshot_part_bytes)}));
+  ++first.next;
+  // A process that is gone fetches again.
+  if (!sent.ok() || first.next == parts) {
+    snapshots_.pop_front();
+  }
+  if (snapshots_.empty()) {
+    return;
   }
+  part_timer_.expires_after(part_pause);
+  part_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      send_next_part();
+    }
+  });
 }
 
 std::set<std::string> configuration_source::polled_within(
--- a/src/control/configuration_source.h
+++ b/src/control/configuration_source.h
@@ -3,7 +3,9 @@
 #ifndef CITRONWHARF_CONTROL_CONFIGURATION_SOURCE_H_
 #define CITRONWHARF_CONTROL_CONFIGURATION_SOURCE_H_
 
+#include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,7 +29,8 @@
  private:
   void answer_poll(const peer_id& from, const config_poll& poll);
   void answer_fetch(const peer_id& from, const config_fetch& fetch);
-  void send_snapshot(const std::string& to);
+  void queue_snapshot(const std::string& to);
+  void send_next_part();
   void greet_all();
 
   process_context& process_;
@@ -36,8 +39,19 @@
   std::set<std::string> sessions_;
   std::vector<control_member> members_;
   std::map<std::string, time_point> polled_at_;
-  std::uint64_t text_version_ = 0;  // of text_
-  std::string text_;                // the configuration as JSON
+  // Snapshots under way share the text that they began with.
+  struct snapshot_text {
+    std::uint64_t version = 0;
+    std::string json;
+  };
+  struct snapshot_under_way {
+    std::string to;
+    std::shared_ptr<const snapshot_text> text;
+    std::uint32_t next = 0;
+  };
+  std::shared_ptr<const snapshot_text> text_;
+  std::deque<snapshot_under_way> snapshots_;
+  runtime_timer part_timer_;
 };
 
 /// Returns the members as other processes learn them. Thread-safe.
--- a/src/control/load_turns.cc
+++ b/src/control/load_turns.cc
@@ -42,7 +42,7 @@
 }
 
 load_turn_reply load_turns::grant(const turn_command& command) {
-  const load_turn_reply reply = preview(command);
+  load_turn_reply reply = preview(command);
   const endpoint* wanted = find(command.endpoint);
   if (wanted == nullptr) {
     states_.erase(command.endpoint);
