--- a/bench/endpoint.cc
+++ b/bench/endpoint.cc
@@ -293,8 +293,8 @@
 
 void measure_cancels(load& caller) {
   std::vector<double> spans;
-  for (int at = 0; at < cancels; ++at) {
-    const auto number = static_cast<std::uint64_t>(100000 + at);
+  for (std::uint64_t at = 0; at < cancels; ++at) {
+    const std::uint64_t number = 100000 + at;
     caller.begin(number, 4000);
     caller.until_token();
     const time_point asked = runtime_clock::now();
@@ -308,8 +308,8 @@
 }
 
 void measure_deaths(load& caller, std::uint16_t port) {
-  for (int at = 0; at < deaths; ++at) {
-    caller.begin(static_cast<std::uint64_t>(200000 + at), 80000);
+  for (std::uint64_t at = 0; at < deaths; ++at) {
+    caller.begin(200000 + at, 80000);
     caller.until_token();
     const time_point died = runtime_clock::now();
     caller.die();
@@ -326,8 +326,8 @@
   caller.until_token();
   caller.run_for(milliseconds(200));
   const auto before = static_cast<double>(mallinfo2().uordblks);
-  for (int at = 0; at < waiting_requests; ++at) {
-    caller.reserve(static_cast<std::uint64_t>(300001 + at), 4000);
+  for (std::uint64_t at = 0; at < waiting_requests; ++at) {
+    caller.reserve(300001 + at, 4000);
   }
   caller.run_for(milliseconds(500));
   const auto after = static_cast<double>(mallinfo2().uordblks);
@@ -357,8 +357,7 @@
   caller.connect(node->port);
   cost bare;
   cost through;
-  for (int at = 0; at < requests; ++at) {
-    const auto number = static_cast<std::uint64_t>(at + 1);
+  for (std::uint64_t number = 1; number <= requests; ++number) {
     const double engine_0 = engine_thread.processor_us();
     caller.bare(number, bare.times);
     const double engine_1 = engine_thread.processor_us();
