Claims: time that goes back and a late end have rows of their own

Shown failing first with claims.cc changed: time taken as told -> time_never_ goes_back fails. Also four lint findings.

--- a/bench/entry.cc
+++ b/bench/entry.cc
@@ -269,6 +269,7 @@
       call(bare, tokens);
     }
     std::vector<double> took;
+    took.reserve(rounds);
     const double before = entry_.run(thread_seconds);
     for (int round = 0; round < rounds; ++round) {
       took.push_back(call(bare, tokens));
@@ -285,6 +286,7 @@
   double memory(endpoint_mode mode) {
     callers_.run([&] { decode_->mode = mode; });
     std::vector<std::unique_ptr<http_call>> calls;
+    calls.reserve(held_requests);
     const auto before = mallinfo2().uordblks;
     for (int number = 0; number < held_requests; ++number) {
       calls.push_back(callers_.run([&] { return start(false, 100, {}); }));
@@ -303,7 +305,7 @@
   }
 
   std::unique_ptr<http_call> start(bool bare, int tokens,
-                                   std::function<void()> done) {
+                                   const std::function<void()>& done) {
     http_call_options options;
     options.address =
         "127.0.0.1:" + std::to_string(bare ? bare_port_ : entry_port_);
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -51,11 +51,15 @@
   const auto end = [](claim_end how, const char* owner = "a") {
     return [how, owner](machine& in) { in.finish("k", owner, how, second); };
   };
+  const auto late = [](machine& in) {
+    in.finish("k", "a", claim_end::done, second);
+    in.finish("k", "a", claim_end::not_run, second);
+  };
   const auto nothing = [](machine&) {};
   const auto full = [](machine& in) {
     in.finish("k", "a", claim_end::done, second, std::string(2000, 'x'));
   };
-  const std::int64_t day = 24 * 3600 * second;
+  const std::int64_t day = 24LL * 3600 * second;
   const std::vector<row> table{
       {"under way", nothing, "d", second, claim_state::in_progress},
       {"other request", nothing, "e", second, claim_state::conflict},
@@ -72,6 +76,7 @@
       {"another's end", end(claim_end::not_run, "z"), "d", 2 * second,
        claim_state::in_progress},
       {"answer too large", full, "d", 2 * second, claim_state::unknown},
+      {"done, then not run", late, "d", 2 * second, claim_state::done},
       {"old", end(claim_end::done), "d", 2 * second + day,
        claim_state::granted},
       {"a clock that goes back", end(claim_end::done), "d", -5 * second,
@@ -116,6 +121,14 @@
   BOOST_TEST(in.state.size() == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(time_never_goes_back) {
+  machine in;
+  in.claim("x", "d", "a", 10 * second);
+  in.claim("y", "d", "a", -100 * second);
+  BOOST_TEST(
+      (in.claim("y", "d", "b", 11 * second) == claim_state::in_progress));
+}
+
 BOOST_AUTO_TEST_CASE(a_bad_command_is_a_result) {
   machine in;
   BOOST_TEST((in.apply({{"kind", "claims"}}).state == claim_state::conflict));
