--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -11,6 +11,7 @@
 
 #include "base/decode.h"
 #include "control/data_folder.h"
+#include "control/log_check.h"
 #include "control/member_joiner.h"
 #include "control/proposal_table.h"
 #include "control/replica_status.h"
@@ -113,6 +114,13 @@
 void disk_replica::listen_for() {
   environment_.peers.on<Message>(
       [this, alive = alive_](const peer_id& from, const Message& in) {
+        if constexpr (std::is_same_v<Message, append_request>) {
+          if (!well_formed(in)) {
+            const auto why = absl::InvalidArgumentError("malformed log entry");
+            environment_.peers.end_session(from.name, why);
+            return;
+          }
+        }
         if (*alive) {
           log_->receive(now(), from.name, log_message(in));
           schedule_pump();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -319,6 +319,9 @@
   keep_alive_ = false;
   http_response out = response;
   out.headers.push_back({"Retry-After", "1"});
+  if (options_.make_request_id) {
+    out.headers.push_back({"X-Request-Id", options_.make_request_id()});
+  }
   respond(out);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -25,6 +25,8 @@
   duration idle_timeout = seconds(60);   ///< between requests
   duration write_timeout = seconds(10);  ///< without progress of a write
   std::size_t max_queued_bytes = 1U << 20U;  ///< of a stream; then it is cut
+  /// Names a request that the server itself refuses; no id when not set.
+  std::function<std::string()> make_request_id;
 };
 
 /// The answer to one request. Destroyed without a whole answer, it closes the
