--- a/src/endpoint/engine_client.cc
+++ b/src/endpoint/engine_client.cc
@@ -112,8 +112,8 @@
 
 engine_client::call engine_client::decode(
     const std::string& id, std::int32_t offset, duration stall,
-    std::function<void(std::vector<std::string>)> on_tokens,
-    std::function<void(const engine_error&)> on_end) {
+    const std::function<void(std::vector<std::string>)>& on_tokens,
+    const std::function<void(const engine_error&)>& on_end) {
   struct progress {
     token_reader reader;
     int status = 0;
--- a/src/endpoint/engine_client.h
+++ b/src/endpoint/engine_client.h
@@ -113,8 +113,8 @@
   /// Streams the tokens from `offset` on; a token later than `stall` after
   /// the one before ends the stream as lost.
   call decode(const std::string& id, std::int32_t offset, duration stall,
-              std::function<void(std::vector<std::string>)> on_tokens,
-              std::function<void(const engine_error&)> on_end);
+              const std::function<void(std::vector<std::string>)>& on_tokens,
+              const std::function<void(const engine_error&)>& on_end);
   call info(handler<engine_info> done);
   call load(handler<engine_load> done);
   call held(handler<std::vector<engine_held>> done);
--- a/src/fake/engine.cc
+++ b/src/fake/engine.cc
@@ -74,7 +74,8 @@
   server_options.max_connections = 8192;
   server = std::make_unique<http_server>(
       loop, server_options,
-      [this](http_request request, std::unique_ptr<http_exchange> exchange) {
+      [this](const http_request& request,
+             std::unique_ptr<http_exchange> exchange) {
         route(request, std::move(exchange));
       });
   auto port = server->listen();
--- a/test/endpoint-engine-test.cc
+++ b/test/endpoint-engine-test.cc
@@ -25,7 +25,7 @@
 }
 
 struct engine_pair {
-  explicit engine_pair(fake::engine_options options = quick())
+  explicit engine_pair(const fake::engine_options& options = quick())
       : prefill(loop, options), decode(loop, options) {
     prefill_client = connect(prefill);
     decode_client = connect(decode);
