Refusals of the HTTP server itself carry a request id and are read

Cause: a 4xx made by the server (too large, malformed, slow) had no X-Request-Id, and closing over the rest of a large body could reset the connection before the caller read the refusal. Change: the entry gives the server a hook that names refused requests; a refused connection is read on for at most 1 s. entry-caller-test has a body over the server's limit. A frame type without handler is logged once for each peer, since one may come each second.

--- a/src/entry/entry_role.cc
+++ b/src/entry/entry_role.cc
@@ -1,5 +1,7 @@
 #include "entry/entry_role.h"
 
+#include <fmt/format.h>
+
 #include <boost/asio/post.hpp>
 #include <map>
 #include <set>
@@ -17,8 +19,13 @@
 constexpr int unavailable = 503;
 constexpr int too_many_requests = 429;
 
-http_server_options server_options(const settings& in) {
+http_server_options server_options(const settings& in,
+                                   std::uint64_t incarnation) {
   http_server_options out;
+  out.make_request_id = [process = in.process, incarnation,
+                         count = 0]() mutable {
+    return fmt::format("{}-{:x}-refused-{}", process, incarnation, ++count);
+  };
   out.listen = in.listen.callers;
   out.max_connections = static_cast<std::size_t>(in.limits.max_connections);
   out.max_header_bytes = static_cast<std::size_t>(in.limits.max_header_bytes);
@@ -68,7 +75,8 @@
         claims_(process),
         context_{process, places_, *allowances_, retries_, waiting_,
                  memory_, claims_, {},           {}},
-        server_(process.loop, server_options(process.options),
+        server_(process.loop,
+                server_options(process.options, process.incarnation),
                 [this](http_request in, std::unique_ptr<http_exchange> out) {
                   take(std::move(in), std::move(out));
                 }),
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -24,6 +24,9 @@
 
 namespace {
 
+// How long a refused caller may go on sending, so that it reads the refusal.
+constexpr duration linger_limit = seconds(1);
+
 http_response problem(int status, const std::string& title) {
   http_response out;
   out.status = status;
@@ -107,7 +110,7 @@
   void start(bool refuse) {
     socket_.set_option(tcp::no_delay(true), ignored_);
     if (refuse) {
-      refuse_with(problem(503, "too many connections"));
+      refuse_with(problem(503, "too-many-connections"));
       return;
     }
     await_request();
@@ -151,7 +154,7 @@
   }
 
  private:
-  enum class phase { idle, reading, answering, closed };
+  enum class phase { idle, reading, answering, lingering, closed };
   using request_parser = http::request_parser<http::string_body>;
 
   void await_request();
@@ -160,9 +163,10 @@
   void dispatch();
   void watch_caller();
   void refuse_with(const http_response& response);
+  void linger();
   void on_read_error(error_code error);
   void arm(duration limit, void (connection::*on_expiry)());
-  void read_expired() { refuse_with(problem(408, "request too slow")); }
+  void read_expired() { refuse_with(problem(408, "request-too-slow")); }
   void queue(std::string bytes);
   void write_next();
   void answered();
@@ -177,7 +181,8 @@
   phase phase_ = phase::idle;
   std::uint64_t turn_ = 0;
   bool keep_alive_ = true;
-  bool ending_ = false;  ///< the answer is queued whole
+  bool refused_ = false;  ///< the request was not read whole
+  bool ending_ = false;   ///< the answer is queued whole
   bool writing_ = false;
   bool watching_ = false;
   std::deque<std::string> queue_;
@@ -301,14 +306,14 @@
     return;
   }
   if (error == http::error::header_limit) {
-    refuse_with(problem(431, "headers too large"));
+    refuse_with(problem(431, "too-many-headers"));
   } else if (error == http::error::body_limit) {
-    refuse_with(problem(413, "body too large"));
+    refuse_with(problem(413, "body-too-large"));
   } else if (error.category() ==
                  http::make_error_code(http::error::bad_version).category() &&
              error != http::error::end_of_stream &&
              error != http::error::partial_message) {
-    refuse_with(problem(400, "malformed request: " + error.message()));
+    refuse_with(problem(400, "malformed-request"));
   } else {
     close();
   }
@@ -317,6 +322,7 @@
 void connection::refuse_with(const http_response& response) {
   phase_ = phase::answering;
   keep_alive_ = false;
+  refused_ = true;
   http_response out = response;
   out.headers.push_back({"Retry-After", "1"});
   if (options_.make_request_id) {
@@ -435,7 +441,13 @@
   const auto server = server_.lock();
   if (!keep_alive_ || !server || !server->accepting()) {
     socket_.shutdown(tcp::socket::shutdown_send, ignored_);
-    close();
+    if (refused_) {
+      phase_ = phase::lingering;
+      arm(linger_limit, &connection::close);
+      linger();
+    } else {
+      close();
+    }
     return;
   }
   if (watching_) {
@@ -449,6 +461,22 @@
   });
 }
 
+// Closing over unread bytes would reset the connection, and the caller might
+// never see its refusal.
+void connection::linger() {
+  buffer_.clear();
+  constexpr std::size_t discarded_at_once = 16U << 10U;
+  socket_.async_read_some(
+      buffer_.prepare(discarded_at_once),
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        if (error || self->phase_ != phase::lingering) {
+          self->close();
+        } else {
+          self->linger();
+        }
+      });
+}
+
 absl::StatusOr<std::uint16_t> http_server::impl::listen() {
   const auto address = parse_address(options_.listen);
   if (!address.ok()) {
--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 #include <websocketpp/client.hpp>
@@ -125,6 +126,7 @@
   std::map<std::string, std::uint64_t> up_;     ///< by process name
   std::map<std::string, dial_target> targets_;  ///< by address
   std::map<std::string, frame_handler> frame_handlers_;
+  std::set<std::pair<std::string, std::string>> unhandled_;  ///< peer, type
   std::vector<session_handler> session_handlers_;
 };
 
@@ -371,7 +373,10 @@
 void peer_hub::impl::deliver(const peer_id& from, const frame& in) {
   const auto handler = frame_handlers_.find(in.type);
   if (handler == frame_handlers_.end()) {
-    log_event(events::frame_without_handler, in.type, from.name);
+    // Once for each peer and type: the peer may well send it each second.
+    if (unhandled_.insert({from.name, in.type}).second) {
+      log_event(events::frame_without_handler, in.type, from.name);
+    }
     return;
   }
   handler->second(from, in);
--- a/test/entry-caller-test.cc
+++ b/test/entry-caller-test.cc
@@ -116,6 +116,8 @@
       {"wrong method", get, 405, "wrong-method"},
       {"body over the route's limit", post("summary", std::string(5000, 'x')),
        413, "body-too-large"},
+      {"body over the server's limit",
+       post("summary", std::string(3U << 20U, 'x')), 413, "body-too-large"},
       {"headers too many", many, 431, "too-many-headers"},
       {"not JSON", post("summary", "{\"prompt\":"), 400, "not-json"},
       {"not UTF-8", post("summary", "{\"prompt\":\"\xff\"}"), 400, "not-json"},
