--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -242,11 +242,10 @@
   know(info);
   for (const engine_held& one : held) {
     const auto key = parse_attempt_key(one.id);
-    if (!key) {
+    if (!key || !held_.adopt(*key, now)) {
       engine_.cancel(one.id);
       continue;
     }
-    held_.adopt(*key, now);
     desk_.adopt(*key, one.pieces, now);
   }
   log_event(events::engine_found, engine_.address(), held.size());
--- a/src/endpoint/held_work.cc
+++ b/src/endpoint/held_work.cc
@@ -47,10 +47,13 @@
   }
 }
 
-void held_work::adopt(const attempt_key& key, time_point now) {
-  if (records_.count(key) == 0) {
-    renew(key, now).started = true;
+bool held_work::adopt(const attempt_key& key, time_point now) {
+  const auto found = records_.find(key);
+  if (found != records_.end()) {
+    return !found->second.ended;
   }
+  renew(key, now).started = true;
+  return true;
 }
 
 std::vector<attempt_key> held_work::session(const std::string& entry,
--- a/src/endpoint/held_work.h
+++ b/src/endpoint/held_work.h
@@ -42,8 +42,9 @@
   /// Lets go of an attempt that was held but not started; it may come again.
   void forget(const attempt_key& key);
   /// Takes over what the engine holds from before this process started; it is
-  /// dropped unless a live holder claims it within the lease.
-  void adopt(const attempt_key& key, time_point now);
+  /// dropped unless a live holder claims it within the lease. Returns false
+  /// for an attempt that was ended here before, by a cancel that came first.
+  bool adopt(const attempt_key& key, time_point now);
 
   /// A session came up or was lost. Returns attempts of earlier incarnations,
   /// to be dropped now.
--- a/test/endpoint-held-work-test.cc
+++ b/test/endpoint-held-work-test.cc
@@ -118,6 +118,18 @@
   BOOST_TEST((gone == std::vector<attempt_key>{first}));
 }
 
+BOOST_AUTO_TEST_CASE(what_was_cancelled_before_the_sweep_is_not_adopted) {
+  held_work held{{}};
+  const attempt_key other{"entry-1", 7, 2, 1};
+  held.session("entry-1", 7, true, start);
+  held.end(first, start);
+  BOOST_TEST(!held.adopt(first, start));
+  BOOST_TEST(held.adopt(other, start));
+  BOOST_TEST(held.adopt(other, start));
+  BOOST_TEST(!held.holds(first));
+  BOOST_TEST(held.holds(other));
+}
+
 BOOST_AUTO_TEST_CASE(adopted_work_ends_unless_claimed) {
   held_work held{{}};
   const attempt_key other{"entry-1", 7, 2, 1};
--- a/test/endpoint-process-test.cc
+++ b/test/endpoint-process-test.cc
@@ -41,6 +41,18 @@
         list.begin(), list.end(),
         [](const auto& one) { return one.at("state") != "done"; }));
   }
+  // What every engine lists, for messages.
+  std::string held_list() const {
+    std::string all_lists;
+    for (const std::string& engine : engines) {
+      http_call_options options;
+      options.address = all.address(engine, "port");
+      const auto answer =
+          fetch_blocking(options, {"GET", "/v1/held", {}, "", ""});
+      all_lists += engine + (answer.ok() ? answer->body : "") + "\n";
+    }
+    return all_lists;
+  }
   std::size_t held() const {
     std::size_t sum = 0;
     for (const std::string& engine : engines) {
@@ -131,7 +143,7 @@
   system.all.process(busy).kill();
   system.all.restart(busy);
   system.expect_whole("p", 100);
-  BOOST_TEST(system.wait_held(0));
+  BOOST_TEST(system.wait_held(0), system.held_list());
 }
 
 BOOST_AUTO_TEST_CASE(a_frozen_endpoint_process_thaws_without_a_second_answer) {
