--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -14,6 +14,7 @@
 
 #include "base/configuration_json.h"
 #include "base/configuration_view.h"
+#include "net/handshake.h"
 #include "net/peer_hub.h"
 #include "policy/placement.h"
 #include "wire/request_messages.h"
@@ -193,6 +194,8 @@
                            (void)decode_value<tokens_message>(in->body);
                          })});
   }
+  fmt::print("# heartbeat frame: {} bytes\n",
+             encode_frame(make_frame(session_heartbeat{})).size());
   report("bytes of a token in a frame", "bytes/token", bytes);
   report("writing and reading a token in a frame", "us/token", processor);
 }
