--- a/src/control/control_role.cc
+++ b/src/control/control_role.cc
@@ -79,6 +79,8 @@
       return token.status();
     }
     token_digest_ = digest_of(*token);
+    process_.metrics.before_page(
+        [this](metric_registry& page) { set_log_gauges(page); });
     return log_->open();
   }
 
@@ -104,6 +106,18 @@
   }
 
  private:
+  void set_log_gauges(metric_registry& page) const {
+    const replica_status now = log_->status();
+    const auto set = [&page](const char* name, std::uint64_t value) {
+      page.set(name, {}, static_cast<double>(value));
+    };
+    set("citronwharf_log_term", now.term);
+    set("citronwharf_log_last_index", now.last_index);
+    set("citronwharf_log_commit_index", now.commit_index);
+    set("citronwharf_log_leads", now.role == "leader" ? 1 : 0);
+    set("citronwharf_log_failed", now.fault.empty() ? 0 : 1);
+  }
+
   bool authorised(const http_request& request) const {
     const std::string header = find_header(request.headers, "Authorization");
     absl::string_view token = header;
--- a/test/system-control-test.cc
+++ b/test/system-control-test.cc
@@ -37,20 +37,26 @@
   return "";
 }
 
-std::uint64_t version_at(const deployment& system, const std::string& process) {
+// Returns a gauge of a process, 0 without an answer.
+std::uint64_t gauge_at(const deployment& system, const std::string& process,
+                       const std::string& gauge) {
   http_call_options options;
   options.address = system.address(process, "admin");
   const auto page = fetch_blocking(options, {"GET", "/metrics", {}, "", ""});
   if (!page.ok()) {
     return 0;
   }
-  const std::string name = "\ncitronwharf_configuration_version ";
+  const std::string name = "\n" + gauge + " ";
   const auto at = page->body.find(name);
   return at == std::string::npos
              ? 0
              : std::stoull(page->body.substr(at + name.size()));
 }
 
+std::uint64_t version_at(const deployment& system, const std::string& process) {
+  return gauge_at(system, process, "citronwharf_configuration_version");
+}
+
 bool change_weight(const deployment& system, double weight) {
   const std::string path = system.folder().write(
       "weight.json",
@@ -85,7 +91,10 @@
   all.insert(all.end(), endpoint_names.begin(), endpoint_names.end());
   for (int change = 0; change < 3; ++change) {
     BOOST_REQUIRE(change_weight(system, 2.0 + change));
-    const std::uint64_t version = version_at(system, leader_of(system));
+    const std::string leader = leader_of(system);
+    BOOST_TEST(gauge_at(system, leader, "citronwharf_log_leads") == 1U);
+    BOOST_TEST(gauge_at(system, leader, "citronwharf_log_commit_index") > 0U);
+    const std::uint64_t version = version_at(system, leader);
     for (const std::string& process : all) {
       BOOST_TEST(
           wait_until([&] { return version_at(system, process) >= version; },
