Allowances are given back by charge alone

The service kept the last 4,096 grants of each organisation for a give_back by amount that nothing calls any more, and filled that list on each request. The call, its list and its types are gone; give_back_of is now give_back, and pure.

--- a/src/entry/active_request.cc
+++ b/src/entry/active_request.cc
@@ -71,7 +71,7 @@
   allowance_id_ = 0;
   if (ended_) {
     if (decision.granted) {
-      context_.allowances.give_back_of(charge_id_, cost_of(in_.call));
+      context_.allowances.give_back(charge_id_, cost_of(in_.call));
     }
     return;
   }
--- a/src/entry/active_request_actions.cc
+++ b/src/entry/active_request_actions.cc
@@ -192,7 +192,7 @@
     used = static_cast<double>(call->prompt_tokens) + output_tokens;
   }
   if (charged_ > used) {
-    context_.allowances.give_back_of(charge_id_, charged_ - used);
+    context_.allowances.give_back(charge_id_, charged_ - used);
   }
   charged_ = 0;
 }
--- a/src/entry/allowance_service.cc
+++ b/src/entry/allowance_service.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,18 +21,11 @@
 // The timer never waits longer, since authority may come or end meanwhile.
 constexpr duration longest_wait = milliseconds(50);
 constexpr duration shortest_wait = milliseconds(1);
-// Granted acquires remembered for each organisation.
-constexpr std::size_t most_granted = 4096;
 
 constexpr const char* refused_metric =
     "citronwharf_allowance_refused_within_rate_total";
 constexpr const char* unsent_metric = "citronwharf_allowance_unsent_total";
 
-struct granted_acquire {
-  std::uint64_t id = 0;
-  double tokens = 0;
-};
-
 struct waiting_acquire {
   std::string organisation;
   double tokens = 0;
@@ -83,19 +75,7 @@
     perform(leases_.abandon(id));
   }
 
-  void give_back(const std::string& organisation, double tokens) override {
-    std::deque<granted_acquire>& from = granted_[organisation];
-    const auto found = std::find_if(from.begin(), from.end(),
-                                    [tokens](const granted_acquire& each) {
-                                      return each.tokens >= tokens;
-                                    });
-    if (found == from.end()) return;
-    const std::uint64_t id = found->id;
-    from.erase(found);
-    give_back_of(id, tokens);
-  }
-
-  void give_back_of(std::uint64_t id, double tokens) override {
+  void give_back(std::uint64_t id, double tokens) override {
     perform(leases_.give_back(id, tokens, runtime_clock::now()));
   }
 
@@ -239,11 +219,6 @@
     if (found == waiting_.end()) return;
     waiting_acquire asked = std::move(found->second);
     waiting_.erase(found);
-    if (answer.granted) {
-      std::deque<granted_acquire>& kept = granted_[asked.organisation];
-      kept.push_back({answer.id, asked.tokens});
-      if (kept.size() > most_granted) kept.pop_front();
-    }
     if (!answer.granted && answer.within_rate) {
       process_.metrics.add(refused_metric, {});
     }
@@ -282,7 +257,6 @@
   allowance_leases leases_;
   std::set<std::string> members_;
   std::map<std::uint64_t, waiting_acquire> waiting_;
-  std::map<std::string, std::deque<granted_acquire>> granted_;
   std::uint64_t last_id_ = 0;
 };
 
--- a/src/entry/allowance_service.h
+++ b/src/entry/allowance_service.h
@@ -37,11 +37,8 @@
                                 time_point deadline, acquired done) = 0;
   /// Forgets a waiting acquire, as when the caller left.
   virtual void abandon(std::uint64_t id) = 0;
-  /// Returns unused tokens of a granted acquire, the oldest of the
-  /// organisation that took as many. Prefer give_back_of.
-  virtual void give_back(const std::string& organisation, double tokens) = 0;
   /// Returns unused tokens of the granted acquire with this id, at most once.
-  virtual void give_back_of(std::uint64_t /*id*/, double /*tokens*/) {}
+  virtual void give_back(std::uint64_t id, double tokens) = 0;
 };
 
 /// Makes the service. Precondition: `process` outlives it.
