HTTP connections are kept and reused; leases count a suspension

Cause: every call of http_client opened a connection, and servers price new ones; a gateway makes thousands. http_pool keeps connections, skips responses that belong to another call, and reuses none after an unread byte. http_server learns to close connections after their next response, for a drain that callers notice. The runtime's clock reads CLOCK_BOOTTIME: a steady clock leaves out a suspension, which a freshness lease must not outlive. Ruled out: extending start_http_call, whose users want one connection a call.

--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <ctime>
 
 namespace citronwharf {
 namespace {
@@ -13,8 +14,16 @@
 std::atomic<std::int64_t> paused_at{running};
 std::atomic<std::int64_t> offset{0};
 
+// Counts the time for which the machine is suspended, which steady_clock leaves
+// out: a lease must not outlive a suspension.
 std::int64_t steady_now() noexcept {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  timespec reading{};
+  if (clock_gettime(CLOCK_BOOTTIME, &reading) != 0) {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<duration>(now).count();
+  }
+  const auto now =
+      seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec);
   return std::chrono::duration_cast<duration>(now).count();
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -224,9 +224,7 @@
   return std::make_unique<running_call>(std::move(state));
 }
 
-std::unique_ptr<http_call> fetch(
-    asio::io_context& loop, http_call_options options,
-    const http_request& request,
+http_call_handlers collect_response(
     std::function<void(absl::StatusOr<http_response>, bool)> done) {
   // The handlers of one call share the answer under way and `done`.
   struct collected {
@@ -248,8 +246,15 @@
   handlers.on_failure = [shared](const http_failure& failure) {
     shared->done(failure.status, failure.sent);
   };
+  return handlers;
+}
+
+std::unique_ptr<http_call> fetch(
+    asio::io_context& loop, http_call_options options,
+    const http_request& request,
+    std::function<void(absl::StatusOr<http_response>, bool)> done) {
   return start_http_call(loop, std::move(options), request,
-                         std::move(handlers));
+                         collect_response(std::move(done)));
 }
 
 absl::StatusOr<http_response> fetch_blocking(http_call_options options,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -54,6 +54,10 @@
                                            const http_request& request,
                                            http_call_handlers handlers);
 
+/// Returns handlers that collect the whole response of one call for `done`.
+http_call_handlers collect_response(
+    std::function<void(absl::StatusOr<http_response>, bool sent)> done);
+
 /// Makes a call and collects the whole answer; `done` is called once unless
 /// the returned call is destroyed before.
 /// Example: call = fetch(loop, {"127.0.0.1:80"}, {"GET", "/load"}, done);
--- /dev/null
+++ b/src/net/http_pool.cc
@@ -0,0 +1,549 @@
+#include "net/http_pool.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "net/address.h"
+
+namespace citronwharf {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// A server that announces its idle timeout in whole seconds may be a little
+// early; a request must not cross its close.
+// A call nobody waits for ends after this.
+constexpr duration detached_limit = seconds(1);
+constexpr duration keep_alive_margin = milliseconds(700);
+
+std::string serialize(const std::string& address, const http_request& request) {
+  std::string out = fmt::format("{} {} HTTP/1.1\r\n", request.method,
+                                request.target.empty() ? "/" : request.target);
+  if (find_header(request.headers, "Host").empty()) {
+    out += fmt::format("Host: {}\r\n", address);
+  }
+  for (const header_field& field : request.headers) {
+    out += field.name;
+    out += ": ";
+    out += field.value;
+    out += "\r\n";
+  }
+  if (!request.body.empty() ||
+      (request.method != "GET" && request.method != "HEAD")) {
+    out += fmt::format("Content-Length: {}\r\n", request.body.size());
+  }
+  out += "\r\n";
+  out += request.body;
+  return out;
+}
+
+// Reads the N of "timeout=N" in a Keep-Alive header.
+std::optional<duration> announced_idle(const std::string& keep_alive) {
+  const std::string name = "timeout=";
+  const auto at = keep_alive.find(name);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  std::size_t end = at + name.size();
+  while (end < keep_alive.size() &&
+         std::isdigit(static_cast<unsigned char>(keep_alive[end])) != 0) {
+    ++end;
+  }
+  std::int64_t timeout_s = 0;
+  if (!absl::SimpleAtoi(
+          keep_alive.substr(at + name.size(), end - at - name.size()),
+          &timeout_s)) {
+    return std::nullopt;
+  }
+  return std::max<duration>(duration(0),
+                            seconds(timeout_s) - keep_alive_margin);
+}
+
+}  // namespace
+
+namespace detail {
+
+// One connection, idle or with one call under way. It lives on in its
+// handlers until they have run.
+class pooled_connection
+    : public std::enable_shared_from_this<pooled_connection> {
+ public:
+  pooled_connection(std::weak_ptr<http_pool::impl> pool, std::string address,
+                    asio::io_context& loop, std::size_t max_body_bytes)
+      : pool_(std::move(pool)),
+        address_(std::move(address)),
+        socket_(loop),
+        timer_(loop),
+        limit_timer_(loop),
+        max_body_bytes_(max_body_bytes) {}
+
+  void begin(pooled_call call, const http_request& request,
+             http_call_handlers handlers);
+  void abandon();
+  /// Ends the call under way after a span.
+  void limit(duration span);
+  bool reusable(time_point now, duration max_idle);
+  const std::string& address() const { return address_; }
+  time_point idle_since() const { return idle_since_; }
+
+ private:
+  void connect(duration timeout);
+  void exchange();
+  void read_more();
+  void on_read(error_code error);
+  void deliver();
+  bool take_head();
+  void complete();
+  void keep(duration idle_limit);
+  void fail(const absl::Status& status);
+  void close();
+
+  std::weak_ptr<http_pool::impl> pool_;
+  std::string address_;
+  tcp::socket socket_;
+  runtime_timer timer_;
+  runtime_timer limit_timer_;
+  std::size_t max_body_bytes_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  pooled_call call_;
+  http_call_handlers handlers_;
+  std::string out_;
+  bool connected_ = false;
+  bool busy_ = false;     // a call is under way
+  bool sent_ = false;     // a byte of the request may have left
+  bool written_ = false;  // the request was written whole
+  bool head_given_ = false;
+  bool skipping_ = false;  // the response belongs to another call
+  bool keep_alive_ = false;
+  std::optional<duration> announced_idle_;
+  time_point idle_since_{};
+  time_point idle_until_{};
+};
+
+}  // namespace detail
+
+using detail::pooled_connection;
+
+class http_pool::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& loop, http_pool_options options)
+      : loop_(loop), options_(options) {}
+
+  std::shared_ptr<pooled_connection> take(const std::string& address,
+                                          duration max_idle) {
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+      const auto last = idle.back();
+      idle.pop_back();
+      if (last->reusable(runtime_clock::now(), max_idle)) {
+        return last;
+      }
+      last->abandon();
+    }
+    ++opened_;
+    return std::make_shared<pooled_connection>(weak_from_this(), address, loop_,
+                                               options_.max_body_bytes);
+  }
+
+  void keep(const std::shared_ptr<pooled_connection>& connection) {
+    auto& idle = idle_[connection->address()];
+    idle.push_back(connection);
+    if (idle.size() > options_.max_idle_per_address) {
+      const auto oldest = idle.front();
+      idle.pop_front();
+      oldest->abandon();
+    }
+  }
+
+  void remove(const std::shared_ptr<pooled_connection>& connection) {
+    const auto found = idle_.find(connection->address());
+    if (found != idle_.end()) {
+      found->second.remove(connection);
+      if (found->second.empty()) {
+        idle_.erase(found);
+      }
+    }
+  }
+
+  void forget(const std::string& address) {
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+      return;
+    }
+    const auto idle = std::move(found->second);
+    idle_.erase(found);
+    for (const auto& each : idle) {
+      each->abandon();
+    }
+  }
+
+  void close() {
+    while (!idle_.empty()) {
+      forget(idle_.begin()->first);
+    }
+  }
+
+  const http_pool_options& options() const { return options_; }
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  asio::io_context& loop_;
+  http_pool_options options_;
+  std::map<std::string, std::list<std::shared_ptr<pooled_connection>>> idle_;
+  std::uint64_t opened_ = 0;
+};
+
+namespace detail {
+
+void pooled_connection::begin(pooled_call call, const http_request& request,
+                              http_call_handlers handlers) {
+  call_ = std::move(call);
+  handlers_ = std::move(handlers);
+  out_ = serialize(address_, request);
+  busy_ = true;
+  sent_ = false;
+  if (!connected_) {
+    connect(call_.connect_timeout);
+    return;
+  }
+  // Ends the watch of an idle connection.
+  error_code ignored;
+  socket_.cancel(ignored);
+  timer_.cancel();
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->busy_) {
+      self->exchange();
+    }
+  });
+}
+
+void pooled_connection::limit(duration span) {
+  limit_timer_.expires_after(span);
+  limit_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && self->busy_) {
+      self->abandon();
+    }
+  });
+}
+
+void pooled_connection::connect(duration timeout) {
+  const auto address = parse_address(address_);
+  if (!address.ok()) {
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), status = address.status()] {
+                 self->fail(status);
+               });
+    return;
+  }
+  timer_.expires_after(timeout);
+  timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && self->busy_ && !self->connected_) {
+      self->fail(absl::DeadlineExceededError("connect timed out"));
+    }
+  });
+  socket_.async_connect(
+      *address, [self = shared_from_this()](error_code error) {
+        if (!self->busy_) {
+          return;
+        }
+        self->timer_.cancel();
+        if (error) {
+          self->fail(absl::UnavailableError("connect: " + error.message()));
+          return;
+        }
+        self->connected_ = true;
+        error_code ignored;
+        self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->exchange();
+      });
+}
+
+// Reads while it writes, since a server may answer before it has read a long
+// request.
+void pooled_connection::exchange() {
+  sent_ = true;
+  written_ = false;
+  asio::async_write(
+      socket_, asio::buffer(out_),
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        // A failed write shows as a failed read, perhaps after a response.
+        self->written_ = !error;
+      });
+  parser_.emplace();
+  parser_->eager(false);
+  parser_->body_limit(max_body_bytes_);
+  head_given_ = false;
+  skipping_ = false;
+  read_more();
+}
+
+void pooled_connection::read_more() {
+  http::async_read_some(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        self->on_read(error);
+      });
+}
+
+void pooled_connection::on_read(error_code error) {
+  if (!busy_) {
+    return;
+  }
+  // A response without a length ends where the server closes.
+  if (error == http::error::end_of_stream && parser_->is_header_done() &&
+      parser_->need_eof()) {
+    parser_->put_eof(error);
+  }
+  if (error) {
+    fail(absl::UnavailableError("read: " + error.message()));
+    return;
+  }
+  deliver();
+}
+
+void pooled_connection::deliver() {
+  // A handler may destroy the call: keep the connection for the moment.
+  const auto self = shared_from_this();
+  if (parser_->is_header_done() && !head_given_) {
+    if (!take_head()) {
+      return;
+    }
+  }
+  std::string& body = parser_->get().body();
+  if (!body.empty()) {
+    const std::string part = std::move(body);
+    body.clear();
+    if (!skipping_ && handlers_.on_body) {
+      handlers_.on_body(part);
+    }
+  }
+  if (!busy_) {
+    return;
+  }
+  if (!parser_->is_done()) {
+    read_more();
+    return;
+  }
+  if (skipping_) {
+    parser_.emplace();
+    parser_->eager(false);
+    parser_->body_limit(max_body_bytes_);
+    head_given_ = false;
+    skipping_ = false;
+    read_more();
+    return;
+  }
+  complete();
+}
+
+// Returns whether the call goes on.
+bool pooled_connection::take_head() {
+  http_response head;
+  head.status = static_cast<int>(parser_->get().result_int());
+  for (const auto& field : parser_->get()) {
+    head.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  keep_alive_ = parser_->get().keep_alive() && !parser_->need_eof();
+  announced_idle_ = announced_idle(find_header(head.headers, "Keep-Alive"));
+  head_given_ = true;
+  constexpr int first_final_status = 200;
+  skipping_ = head.status < first_final_status ||
+              (call_.accepts && !call_.accepts(head));
+  if (!skipping_ && handlers_.on_head) {
+    handlers_.on_head(head);
+  }
+  return busy_;
+}
+
+void pooled_connection::complete() {
+  auto done = std::move(handlers_.on_done);
+  handlers_ = {};
+  busy_ = false;
+  limit_timer_.cancel();
+  const auto pool = pool_.lock();
+  if (keep_alive_ && written_ && buffer_.size() == 0 && pool) {
+    keep(std::min(pool->options().idle_limit,
+                  announced_idle_.value_or(pool->options().idle_limit)));
+  } else {
+    close();
+  }
+  if (done) {
+    done();
+  }
+}
+
+void pooled_connection::keep(duration idle_limit) {
+  idle_since_ = runtime_clock::now();
+  idle_until_ = idle_since_ + idle_limit;
+  parser_.reset();
+  out_.clear();
+  if (const auto pool = pool_.lock()) {
+    pool->keep(shared_from_this());
+  }
+  const auto end_idle = [](const std::weak_ptr<pooled_connection>& weak) {
+    const auto self = weak.lock();
+    if (!self || self->busy_) {
+      return;
+    }
+    if (const auto pool = self->pool_.lock()) {
+      pool->remove(self);
+    }
+    self->close();
+  };
+  timer_.expires_at(idle_until_);
+  timer_.async_wait([weak = weak_from_this(), end_idle](error_code error) {
+    if (!error) {
+      end_idle(weak);
+    }
+  });
+  socket_.async_wait(tcp::socket::wait_read,
+                     [weak = weak_from_this(), end_idle](error_code error) {
+                       if (error != asio::error::operation_aborted) {
+                         end_idle(weak);
+                       }
+                     });
+}
+
+// Also looks at the socket itself: the close may have arrived in this very
+// turn of the loop.
+bool pooled_connection::reusable(time_point now, duration max_idle) {
+  if (!connected_ || busy_ || now >= idle_until_ ||
+      now - idle_since_ >= max_idle) {
+    return false;
+  }
+  error_code error;
+  socket_.non_blocking(true, error);
+  char byte = 0;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block || error == asio::error::try_again;
+}
+
+void pooled_connection::abandon() {
+  busy_ = false;
+  // A handler may be running right now: they end in a later turn of the loop.
+  asio::post(socket_.get_executor(), [handlers = std::move(handlers_),
+                                      accepts = std::move(call_.accepts)] {});
+  handlers_ = {};
+  call_.accepts = nullptr;
+  close();
+}
+
+void pooled_connection::close() {
+  connected_ = false;
+  timer_.cancel();
+  limit_timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void pooled_connection::fail(const absl::Status& status) {
+  if (!busy_) {
+    return;
+  }
+  auto failed = std::move(handlers_.on_failure);
+  abandon();
+  if (failed) {
+    failed(http_failure{status, sent_});
+  }
+}
+
+}  // namespace detail
+
+namespace {
+
+class running_pooled_call final : public http_call {
+ public:
+  running_pooled_call(std::shared_ptr<pooled_connection> connection,
+                      std::shared_ptr<bool> running)
+      : connection_(std::move(connection)), running_(std::move(running)) {}
+  ~running_pooled_call() override {
+    // Once the call is over, the connection may serve another one.
+    if (*running_) {
+      connection_->abandon();
+    }
+  }
+  running_pooled_call(const running_pooled_call&) = delete;
+  running_pooled_call& operator=(const running_pooled_call&) = delete;
+
+ private:
+  std::shared_ptr<pooled_connection> connection_;
+  std::shared_ptr<bool> running_;
+};
+
+}  // namespace
+
+http_pool::http_pool(asio::io_context& loop, http_pool_options options)
+    : impl_(std::make_shared<impl>(loop, options)) {}
+
+http_pool::~http_pool() {
+  impl_->close();
+}
+
+std::unique_ptr<http_call> http_pool::start(pooled_call call,
+                                            const http_request& request,
+                                            http_call_handlers handlers) {
+  auto connection = impl_->take(call.address, call.max_idle);
+  auto running = std::make_shared<bool>(true);
+  auto done = std::move(handlers.on_done);
+  handlers.on_done = [running, done = std::move(done)] {
+    *running = false;
+    if (done) {
+      done();
+    }
+  };
+  auto failed = std::move(handlers.on_failure);
+  handlers.on_failure =
+      [running, failed = std::move(failed)](const http_failure& failure) {
+        *running = false;
+        if (failed) {
+          failed(failure);
+        }
+      };
+  connection->begin(std::move(call), request, std::move(handlers));
+  return std::make_unique<running_pooled_call>(std::move(connection),
+                                               std::move(running));
+}
+
+std::unique_ptr<http_call> http_pool::fetch(
+    pooled_call call, const http_request& request,
+    std::function<void(absl::StatusOr<http_response>, bool)> done) {
+  return start(std::move(call), request, collect_response(std::move(done)));
+}
+
+void http_pool::run_detached(pooled_call call, const http_request& request) {
+  auto connection = impl_->take(call.address, call.max_idle);
+  connection->begin(std::move(call), request, {});
+  connection->limit(detached_limit);
+}
+
+void http_pool::forget(const std::string& address) {
+  impl_->forget(address);
+}
+
+std::uint64_t http_pool::opened() const {
+  return impl_->opened();
+}
+
+}  // namespace citronwharf
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -68,6 +68,8 @@
 
   absl::StatusOr<std::uint16_t> listen();
   void stop_accepting();
+  void close_after_responses() { closing_ = true; }
+  bool closing() const { return closing_; }
   void close();
   std::size_t open_connections() const { return connections_.size(); }
 
@@ -90,6 +92,7 @@
   asio::io_context& loop_;
   tcp::acceptor acceptor_;
   std::unordered_set<std::shared_ptr<connection>> connections_;
+  bool closing_ = false;  // connections end after their next response
 };
 
 // One caller's connection. It keeps itself alive by the handlers under way
@@ -170,6 +173,7 @@
   void queue(std::string bytes);
   void write_next();
   void answered();
+  void end_kept_connection();
 
   std::weak_ptr<http_server::impl> server_;
   http_server_options options_;
@@ -372,8 +376,14 @@
                      });
 }
 
+void connection::end_kept_connection() {
+  const auto server = server_.lock();
+  keep_alive_ = keep_alive_ && server && !server->closing();
+}
+
 void connection::respond(const http_response& response) {
   ending_ = true;
+  end_kept_connection();
   auto message = to_beast(response, keep_alive_);
   message.prepare_payload();
   std::string bytes = fmt::format("{}", fmt::streamed(message));
@@ -381,6 +391,7 @@
 }
 
 void connection::start_stream(const http_response& head) {
+  end_kept_connection();
   auto message = to_beast(head, keep_alive_);
   message.body().clear();
   message.chunked(true);
@@ -553,6 +564,9 @@
 void http_server::stop_accepting() {
   impl_->stop_accepting();
 }
+void http_server::close_after_responses() {
+  impl_->close_after_responses();
+}
 void http_server::close() {
   impl_->close();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -70,6 +70,8 @@
   absl::StatusOr<std::uint16_t> listen();
   /// Stops accepting; requests in flight go on, idle connections close.
   void stop_accepting();
+  /// Goes on accepting, and closes each connection after its next response.
+  void close_after_responses();
   /// Closes the listener and every connection.
   void close();
   /// Returns how many connections are open.
