--- a/src/base/process_context.h
+++ b/src/base/process_context.h
@@ -42,6 +42,8 @@
   virtual void drain(std::function<void()> done) = 0;
   /// Returns whether a balancer should send new work here.
   virtual bool ready() const = 0;
+  /// Takes what can change without a restart from newly read settings.
+  virtual void reload(const settings& /*options*/) {}
   /// Ports bound by this role, by name, for the port file.
   virtual std::map<std::string, std::uint16_t> ports() const { return {}; }
   /// Answers requests below /admin/ for this role. Returns false, and leaves
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -36,14 +36,19 @@
     case field_type::addresses:
       return {{"type", "array"}, {"items", type_schema(field_type::address)}};
     case field_type::roles:
-      return {{"type", "array"},
-              {"minItems", 1},
-              {"uniqueItems", true},
-              {"items", {{"enum", {"entry", "endpoint", "control"}}}}};
+      return {
+          {"type", "array"},
+          {"minItems", 1},
+          {"uniqueItems", true},
+          {"items", {{"enum", {"entry", "endpoint", "control", "gateway"}}}}};
     case field_type::integer:
       return {{"type", "integer"}, {"minimum", 1}};
     case field_type::share:
       return {{"type", "number"}, {"minimum", 0}, {"maximum", 1}};
+    case field_type::number:
+      return {{"type", "number"}, {"minimum", 0}};
+    case field_type::flag:
+      return {{"type", "boolean"}};
   }
   return {};
 }
@@ -98,7 +103,19 @@
   if (has_role(in, "endpoint") && in.engine.address.empty()) {
     faults.push_back({"/engine/address", "needed by role endpoint"});
   }
-  if (!has_role(in, "control") && in.control.seeds.empty()) {
+  if (in.secret.empty() && in.secret_file.empty()) {
+    faults.push_back({"/secret_file", "needed without /secret"});
+  }
+  const bool gateway = has_role(in, "gateway");
+  for (const auto& [pointer, value] :
+       {std::pair{"/gateway/readiness", in.gateway.readiness},
+        std::pair{"/gateway/operators", in.gateway.operators},
+        std::pair{"/gateway/directory", in.gateway.directory}}) {
+    if (gateway && value.empty()) {
+      faults.push_back({pointer, "needed by role gateway"});
+    }
+  }
+  if (!gateway && !has_role(in, "control") && in.control.seeds.empty()) {
     faults.push_back({"/control/seeds", "needed without role control"});
   }
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -23,8 +23,9 @@
 struct control_settings {
   std::vector<std::string> seeds;  ///< peer addresses of control replicas
   std::int64_t snapshot_entries = 1000;
+  std::int64_t keep_entries = 256;  ///< before a snapshot, for laggards
 };
-CITRONWHARF_VALUE(control_settings, seeds, snapshot_entries)
+CITRONWHARF_VALUE(control_settings, seeds, snapshot_entries, keep_entries)
 
 /// The back end beside an endpoint process.
 struct engine_settings {
@@ -56,25 +57,45 @@
 };
 CITRONWHARF_VALUE(trace_settings, file, collector, sample)
 
+/// Role gateway: forwards callers' requests to listed servers.
+struct gateway_settings {
+  std::string readiness;  ///< listens for the balancer's question
+  std::string operators;  ///< listens for operators
+  std::string directory;  ///< "ip:port" of the list of servers
+  std::int64_t directory_interval_ms = 1200;
+  std::vector<std::string> seeds;  ///< hosts of first contacts
+  bool first_start = false;        ///< of the whole system, with empty disks
+  std::int64_t tolerated_losses = 1;
+  double retry_ratio = 0.2;
+  double retry_slack = 60;
+  std::int64_t retry_window_s = 10;
+  std::int64_t drain_announce_ms = 2500;
+};
+CITRONWHARF_VALUE(gateway_settings, readiness, operators, directory,
+                  directory_interval_ms, seeds, first_start, tolerated_losses,
+                  retry_ratio, retry_slack, retry_window_s, drain_announce_ms)
+
 struct settings {
   std::string process;
   std::string deployment;
   std::string region;
   std::string failure_domain;
-  std::vector<std::string> roles;   ///< entry, endpoint, control
-  std::string secret_file;          ///< the deployment's secret
+  std::vector<std::string> roles;  ///< entry, endpoint, control, gateway
+  std::string secret;              ///< the deployment's, or in secret_file
+  std::string secret_file;
   std::string operator_token_file;  ///< role control
   std::string data_folder;          ///< role control
   std::string port_file;            ///< bound ports are written here, or ""
   listen_settings listen;
   control_settings control;
   engine_settings engine;
+  gateway_settings gateway;
   limit_settings limits;
   trace_settings trace;
 };
 CITRONWHARF_VALUE(settings, process, deployment, region, failure_domain, roles,
-                  secret_file, operator_token_file, data_folder, port_file,
-                  listen, control, engine, limits, trace)
+                  secret, secret_file, operator_token_file, data_folder,
+                  port_file, listen, control, engine, gateway, limits, trace)
 
 /// Returns whether `role` is among the roles. Thread-safe.
 bool has_role(const settings& in, const std::string& role);
--- a/src/base/settings_fields.h
+++ b/src/base/settings_fields.h
@@ -7,7 +7,17 @@
 
 namespace citronwharf::detail {
 
-enum class field_type { text, name, address, addresses, roles, integer, share };
+enum class field_type {
+  text,
+  name,
+  address,
+  addresses,
+  roles,
+  integer,
+  share,
+  number,
+  flag
+};
 
 /// One setting. Defaults are those of the settings structs.
 struct settings_field {
--- /dev/null
+++ b/src/control/document_machine.h
@@ -0,0 +1,37 @@
+/// The state machine of the published document.
+#ifndef CITRONWHARF_CONTROL_DOCUMENT_MACHINE_H_
+#define CITRONWHARF_CONTROL_DOCUMENT_MACHINE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "control/state_machine.h"
+#include "wire/document_messages.h"
+
+namespace citronwharf {
+
+/// Holds the document with the highest version that was published. The text is
+/// opaque here; whoever proposes it has checked it. Loop's thread only.
+class document_machine final : public state_machine {
+ public:
+  static constexpr const char* kind = "document";
+
+  /// Returns the command that publishes a document.
+  static nlohmann::json make_command(std::uint64_t version, std::string text);
+
+  /// Every publication counts as a revision, also one that an equal or higher
+  /// version has overtaken and that changes nothing.
+  nlohmann::json apply(std::uint64_t index,
+                       const nlohmann::json& command) override;
+  nlohmann::json snapshot() const override;
+  void restore(const nlohmann::json& state) override;
+
+  const published_document& current() const { return current_; }
+
+ private:
+  published_document current_;
+};
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_CONTROL_DOCUMENT_MACHINE_H_
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -143,6 +143,8 @@
   options.id = folder_->identity.replica;
   options.process = environment_.options.process;
   options.address = environment_.options.listen.peers;
+  options.keep_entries =
+      static_cast<std::uint64_t>(environment_.options.control.keep_entries);
   std::random_device seed;
   log_.emplace(options, std::mt19937_64(seed()), folder_->log->take_restored(),
                now());
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -26,7 +26,7 @@
 namespace citronwharf {
 namespace {
 
-constexpr std::size_t shortest_secret = 32;
+constexpr std::size_t min_secret_bytes = 32;
 constexpr int hex_base = 16;
 
 // Differs after each restart, whatever the VM's clock says.
@@ -35,14 +35,21 @@
   return std::stoull(make_nonce().substr(0, digits), nullptr, hex_base) + 1;
 }
 
-absl::StatusOr<std::string> read_secret(const std::string& path) {
+absl::StatusOr<std::string> read_secret(const settings& options) {
+  if (!options.secret.empty()) {
+    return options.secret.size() >= min_secret_bytes
+               ? absl::StatusOr<std::string>(options.secret)
+               : absl::InvalidArgumentError(fmt::format(
+                     "/secret: needs at least {} bytes", min_secret_bytes));
+  }
+  const std::string& path = options.secret_file;
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
   const std::string secret(absl::StripTrailingAsciiWhitespace(text.str()));
-  if (!file || secret.size() < shortest_secret) {
+  if (!file || secret.size() < min_secret_bytes) {
     return absl::InvalidArgumentError(fmt::format(
-        "/secret_file: {} needs at least {} bytes", path, shortest_secret));
+        "/secret_file: {} needs at least {} bytes", path, min_secret_bytes));
   }
   return secret;
 }
@@ -65,12 +72,16 @@
 
 class daemon_process::impl {
  public:
-  explicit impl(settings options)
+  impl(settings options, std::string settings_path, gateway_maker make_gateway)
       : options_(std::move(options)),
+        settings_path_(std::move(settings_path)),
+        make_gateway_(std::move(make_gateway)),
         incarnation_(draw_incarnation()),
-        signals_(loop_, SIGTERM, SIGINT) {}
+        signals_(loop_, SIGTERM, SIGINT),
+        hangups_(loop_, SIGHUP) {}
 
   absl::Status run() {
+    set_log_process(options_.process);
     absl::Status started = start();
     if (!started.ok()) {
       return started;
@@ -82,14 +93,43 @@
         drain();
       }
     });
+    await_hangup();
     loop_.run();
     log_event(events::process_stopped, options_.process);
     return absl::OkStatus();
   }
 
  private:
+  void await_hangup() {
+    hangups_.async_wait([this](boost::system::error_code error, int) {
+      if (!error) {
+        reload();
+        await_hangup();
+      }
+    });
+  }
+
+  // A faulty file changes nothing.
+  void reload() {
+    const auto read = load_settings(settings_path_);
+    log_event(events::settings_reloaded, options_.process,
+              read.ok() ? "ok" : std::string(read.status().message()));
+    process_metrics_reload(read.ok());
+    if (!read.ok()) {
+      return;
+    }
+    for (const auto& role : roles_) {
+      role->reload(*read);
+    }
+  }
+
+  void process_metrics_reload(bool ok) {
+    metrics_.add("citronwharf_settings_reloads_total",
+                 {{"outcome", ok ? "ok" : "invalid"}});
+  }
+
   absl::Status start() {
-    const auto secret = read_secret(options_.secret_file);
+    const auto secret = read_secret(options_);
     if (!secret.ok()) {
       return secret.status();
     }
@@ -107,7 +147,10 @@
     for (const std::string& seed : options_.control.seeds) {
       peers_->connect_address(seed);
     }
-    make_roles();
+    absl::Status made = make_roles();
+    if (!made.ok()) {
+      return made;
+    }
     for (const auto& role : roles_) {
       absl::Status started = role->start();
       if (!started.ok()) {
@@ -115,7 +158,9 @@
       }
       ports.merge(role->ports());
     }
-    follower_ = make_configuration_follower(*context_);
+    if (follows_configuration()) {
+      follower_ = make_configuration_follower(*context_);
+    }
     port = start_health();
     if (!port.ok()) {
       return port.status();
@@ -142,7 +187,13 @@
                                      view_, metrics_, *traces_});
   }
 
-  void make_roles() {
+  // A gateway follows the published document instead.
+  bool follows_configuration() const {
+    return has_role(options_, "control") || has_role(options_, "endpoint") ||
+           has_role(options_, "entry");
+  }
+
+  absl::Status make_roles() {
     if (has_role(options_, "control")) {
       roles_.push_back(make_control_role(*context_));
     }
@@ -152,6 +203,14 @@
     if (has_role(options_, "entry")) {
       roles_.push_back(make_entry_role(*context_));
     }
+    if (has_role(options_, "gateway")) {
+      if (!make_gateway_) {
+        return absl::InvalidArgumentError(
+            "/roles: this program has no adapter for role gateway");
+      }
+      roles_.push_back(make_gateway_(*context_));
+    }
+    return absl::OkStatus();
   }
 
   absl::StatusOr<std::uint16_t> start_health() {
@@ -195,9 +254,12 @@
   }
 
   settings options_;
+  std::string settings_path_;
+  gateway_maker make_gateway_;
   boost::asio::io_context loop_;
   std::uint64_t incarnation_;
   boost::asio::signal_set signals_;
+  boost::asio::signal_set hangups_;
   runtime_timer limit_{loop_};
   configuration_view view_;
   metric_registry metrics_;
@@ -211,8 +273,10 @@
   std::size_t waiting_ = 0;
 };
 
-daemon_process::daemon_process(settings options)
-    : impl_(std::make_unique<impl>(std::move(options))) {}
+daemon_process::daemon_process(settings options, std::string settings_path,
+                               gateway_maker make_gateway)
+    : impl_(std::make_unique<impl>(std::move(options), std::move(settings_path),
+                                   std::move(make_gateway))) {}
 daemon_process::~daemon_process() = default;
 absl::Status daemon_process::run() {
   return impl_->run();
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -4,8 +4,11 @@
 
 #include <absl/status/status.h>
 
+#include <functional>
 #include <memory>
+#include <string>
 
+#include "base/process_context.h"
 #include "base/settings.h"
 
 namespace citronwharf {
@@ -13,7 +16,14 @@
 /// One process of the system. Example: daemon_process(options).run()
 class daemon_process {
  public:
-  explicit daemon_process(settings options);
+  /// Makes the role gateway, which needs the adapter of a platform.
+  using gateway_maker =
+      std::function<std::unique_ptr<process_role>(process_context&)>;
+
+  /// `settings_path` is read again on SIGHUP; `make_gateway` may be empty where
+  /// the settings don't name the role.
+  daemon_process(settings options, std::string settings_path,
+                 gateway_maker make_gateway);
   ~daemon_process();
   daemon_process(const daemon_process&) = delete;
   daemon_process& operator=(const daemon_process&) = delete;
