--- /dev/null
+++ b/src/gateway/allowance_client.h
@@ -0,0 +1,70 @@
+/// Takes tokens of organisations' allowances for a gateway, and counts them
+/// for all gateways where this process leads.
+#ifndef CITRONWHARF_GATEWAY_ALLOWANCE_CLIENT_H_
+#define CITRONWHARF_GATEWAY_ALLOWANCE_CLIENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "control/document_cluster.h"
+#include "gateway/fleet_allowance.h"
+#include "net/peer_hub.h"
+
+namespace citronwharf {
+
+/// The outcome of asking for tokens.
+struct allowance_answer {
+  bool granted = false;
+  duration wait{};     ///< when refused: until the tokens accrue
+  const char* source;  ///< who decided: surplus, leader or own_part
+};
+
+/// Loop's thread only. Preconditions: peers and cluster outlive it.
+class allowance_client {
+ public:
+  using done = std::function<void(const allowance_answer&)>;
+  /// Returns the limit of an organisation by its name.
+  using limit_of = std::function<allowance(const std::string&)>;
+
+  allowance_client(boost::asio::io_context& loop, peer_hub& peers,
+                   document_cluster& cluster, limit_of limits);
+  ~allowance_client();
+  allowance_client(const allowance_client&) = delete;
+  allowance_client& operator=(const allowance_client&) = delete;
+
+  /// Asks for tokens; `answer` is called once, perhaps before this returns.
+  void take(const std::string& organisation, double tokens, done answer);
+
+ private:
+  struct pending_ask {
+    std::string organisation;
+    double tokens = 0;
+    time_point deadline;
+    done answer;
+  };
+
+  fleet_tokens_reply count(const fleet_tokens_ask& in);
+  void take_reply(const fleet_tokens_reply& in);
+  void decide_alone(const pending_ask& ask);
+  void sweep();
+  void arm();
+
+  peer_hub& peers_;
+  document_cluster& cluster_;
+  limit_of limits_;
+  runtime_timer timer_;
+  bool armed_ = false;
+  fleet_allowance_home home_;
+  bool led_ = false;
+  fleet_allowance_share share_;
+  std::uint64_t last_ask_ = 0;
+  std::map<std::uint64_t, pending_ask> asks_;
+  // Shared with handlers that may come after the client is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_GATEWAY_ALLOWANCE_CLIENT_H_
--- /dev/null
+++ b/src/gateway/fleet_allowance.cc
@@ -0,0 +1,106 @@
+#include "gateway/fleet_allowance.h"
+
+#include <algorithm>
+
+namespace citronwharf {
+namespace {
+
+// Share of the burst that a new leader starts with.
+constexpr double initial_share = 0.25;
+// Share of the burst that one gateway gets beside what it asked for.
+constexpr double surplus_share = 1.0 / 32;
+// A surplus that isn't used by then is given up.
+constexpr duration surplus_lifetime = milliseconds(500);
+// A request that needs more than the whole burst waits for a full bucket.
+constexpr duration max_wait = seconds(5);
+
+}  // namespace
+
+allowance to_allowance(double tokens_per_second, double burst_tokens) {
+  allowance out;
+  out.tokens_per_second = tokens_per_second;
+  out.burst_tokens = std::max(burst_tokens, 1.0);
+  return out;
+}
+
+fleet_tokens_reply fleet_allowance_home::ask(const fleet_tokens_ask& in,
+                                             const allowance& limit,
+                                             time_point now) {
+  const double burst = static_cast<double>(limit.burst_tokens);
+  auto found = buckets_.find(in.organisation);
+  if (found == buckets_.end()) {
+    found = buckets_
+                .emplace(in.organisation,
+                         token_bucket(limit, burst * initial_share, now))
+                .first;
+  }
+  token_bucket& bucket = found->second;
+  if (!(bucket.limit() == limit)) {
+    bucket.set_limit(limit, now);
+  }
+  const double tokens = std::min(in.tokens, burst);
+  fleet_tokens_reply out;
+  out.id = in.id;
+  out.leads = true;
+  out.granted = bucket.take(tokens, now);
+  if (!out.granted) {
+    out.wait_us =
+        to_microseconds(std::min(max_wait, bucket.wait_for(tokens, now)));
+    return out;
+  }
+  const double surplus = burst * surplus_share;
+  if (bucket.available(now) > burst / 2 && bucket.take(surplus, now)) {
+    out.surplus_tokens = surplus;
+  }
+  return out;
+}
+
+bool fleet_allowance_share::take_surplus(const std::string& organisation,
+                                         double tokens, time_point now) {
+  const auto found = surplus_.find(organisation);
+  if (found == surplus_.end() || now >= found->second.until ||
+      found->second.tokens < tokens) {
+    return false;
+  }
+  found->second.tokens -= tokens;
+  return true;
+}
+
+void fleet_allowance_share::add_surplus(const std::string& organisation,
+                                        double tokens, time_point now) {
+  surplus& of = surplus_[organisation];
+  if (now >= of.until) {
+    of.tokens = 0;
+  }
+  of.tokens += tokens;
+  of.until = now + surplus_lifetime;
+}
+
+duration fleet_allowance_share::take_own_part(const std::string& organisation,
+                                              const allowance& limit,
+                                              double tokens,
+                                              std::size_t processes,
+                                              time_point now) {
+  const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
+  const allowance part =
+      to_allowance(static_cast<double>(limit.tokens_per_second) / parts,
+                   static_cast<double>(limit.burst_tokens) / parts);
+  auto found = own_part_.find(organisation);
+  if (found == own_part_.end()) {
+    found = own_part_
+                .emplace(organisation,
+                         token_bucket(
+                             part, static_cast<double>(part.burst_tokens), now))
+                .first;
+  }
+  token_bucket& bucket = found->second;
+  if (!(bucket.limit() == part)) {
+    bucket.set_limit(part, now);
+  }
+  const double taken = std::min(tokens, static_cast<double>(part.burst_tokens));
+  return bucket.take(taken, now)
+             ? duration{}
+             : std::min(max_wait, bucket.wait_for(taken, now));
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/gateway/forward.cc
@@ -0,0 +1,197 @@
+#include "gateway/forward.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+// Callers honour a Retry-After of up to this share of the time they have left.
+constexpr double max_retry_after_share = 1.0 / 3;
+// A response at the very deadline would reach the caller after it.
+constexpr duration answer_margin = milliseconds(30);
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int status_caller_left = 499;
+
+std::int64_t to_ms(duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+void log_request(forward_environment& environment,
+                 const admitted_request& request, int status,
+                 const std::string& reason, std::int64_t sends,
+                 const std::string& server, bool good) {
+  const duration elapsed = runtime_clock::now() - request.received;
+  const std::string route = request.route ? request.route->name : "";
+  const std::string service = request.service ? request.service->name : "";
+  const std::uint64_t version = request.table ? request.table->version() : 0;
+  log_event(good ? events::gateway_request : events::gateway_request_failed,
+            request.caller.id, request.organisation, route, service, status,
+            reason, version, to_ms(environment.document_age()), sends, server,
+            to_ms(elapsed), request.trail);
+  const std::string kind = request.route == nullptr ? "none"
+                           : request.route->stream  ? "stream"
+                                                    : "plain";
+  environment.metrics.add("citronwharf_gateway_requests_total",
+                          {{"kind", kind},
+                           {"status", fmt::format("{}", status)},
+                           {"reason", reason}});
+  environment.metrics.observe("citronwharf_gateway_request_seconds",
+                              {{"kind", kind}},
+                              std::chrono::duration<double>(elapsed).count());
+}
+
+}  // namespace
+
+duration suggest_retry_after(duration objective, duration time_left,
+                             std::mt19937_64& random) {
+  const duration longest =
+      std::chrono::duration_cast<duration>(time_left * max_retry_after_share);
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  const duration wanted =
+      std::chrono::duration_cast<duration>(objective * spread(random));
+  return std::max(duration{}, std::min(wanted, longest));
+}
+
+void answer_refused(forward_environment& environment, admitted_request& request,
+                    int status, const std::string& reason,
+                    std::optional<duration> retry_after) {
+  request.exchange->respond(
+      environment.codec.make_refusal(status, reason, retry_after));
+  log_request(environment, request, status, reason, 0, "", false);
+  request.exchange.reset();
+}
+
+forward::forward(forward_environment& environment, admitted_request request)
+    : environment_(environment),
+      request_(std::move(request)),
+      deadline_timer_(environment.loop) {}
+
+forward::~forward() {
+  *alive_ = false;
+}
+
+void forward::start(std::function<void()> ended) {
+  ended_ = std::move(ended);
+  request_.exchange->on_closed([this, alive = alive_] {
+    if (*alive) {
+      on_caller_left();
+    }
+  });
+  arm(deadline_timer_, time_left(), [this] { on_deadline(); });
+  begin();
+}
+
+void forward::arm(runtime_timer& timer, duration span,
+                  std::function<void()> expired) {
+  timer.expires_after(std::max(duration{}, span));
+  timer.async_wait([alive = alive_, expired = std::move(expired)](
+                       boost::system::error_code error) {
+    if (!error && *alive) {
+      expired();
+    }
+  });
+}
+
+void forward::note(const std::string& decision) {
+  request_.trail +=
+      fmt::format("{}{}@{}", request_.trail.empty() ? "" : " ", decision,
+                  to_ms(runtime_clock::now() - request_.received));
+}
+
+duration forward::time_left() const {
+  return request_.deadline - answer_margin - runtime_clock::now();
+}
+
+milliseconds forward::server_deadline() const {
+  return std::max(milliseconds(1),
+                  std::chrono::duration_cast<milliseconds>(
+                      request_.deadline - runtime_clock::now()));
+}
+
+request_progress forward::progress() const {
+  request_progress out;
+  out.repeat = request_.route->repeat;
+  out.max_servers = request_.route->max_servers;
+  out.servers_run = servers_run_;
+  out.sends = sends_;
+  out.time_left = time_left();
+  return out;
+}
+
+void forward::on_deadline() {
+  note("deadline");
+  const bool may_have_run = servers_run_ > 0 || may_be_running_;
+  stop();
+  if (!may_have_run) {
+    refuse_not_run("deadline");
+  } else {
+    fail_unknown(status_gateway_timeout, "deadline");
+  }
+}
+
+void forward::on_caller_left() {
+  if (finished_) {
+    return;
+  }
+  note("caller_left");
+  stop();
+  finish(status_caller_left, "caller_left", false);
+}
+
+void forward::refuse_not_run(const std::string& reason) {
+  if (finished_) {
+    return;
+  }
+  const duration wait = suggest_retry_after(milliseconds(route().objective_ms),
+                                            time_left(), environment_.random);
+  request_.exchange->respond(
+      environment_.codec.make_refusal(status_unavailable, reason, wait));
+  finish(status_unavailable, reason, false);
+}
+
+void forward::fail_unknown(int status, const std::string& reason) {
+  if (finished_) {
+    return;
+  }
+  request_.exchange->respond(
+      environment_.codec.make_refusal(status, reason, std::nullopt));
+  finish(status, reason, false);
+}
+
+void forward::deliver(http_response response, const std::string& reason) {
+  if (finished_) {
+    return;
+  }
+  const int status = response.status;
+  request_.exchange->respond(
+      environment_.codec.make_answer(std::move(response)));
+  constexpr int first_error = 400;
+  finish(status, reason, status < first_error);
+}
+
+void forward::finish(int status, const std::string& reason, bool good) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  boost::system::error_code ignored;
+  deadline_timer_.cancel(ignored);
+  log_request(environment_, request_, status, reason, sends_, last_server_,
+              good);
+  request_.exchange.reset();
+  boost::asio::post(environment_.loop, [alive = alive_, this] {
+    if (*alive && ended_) {
+      const auto ended = std::move(ended_);
+      ended();
+    }
+  });
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/gateway/forward.h
@@ -0,0 +1,131 @@
+/// A request on its way through a gateway: attempts at servers, the response
+/// to the caller, the trail of decisions.
+#ifndef CITRONWHARF_GATEWAY_FORWARD_H_
+#define CITRONWHARF_GATEWAY_FORWARD_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "gateway/attempt_policy.h"
+#include "gateway/codec.h"
+#include "gateway/retry_budget.h"
+#include "gateway/server_list.h"
+#include "net/http_pool.h"
+#include "net/http_server.h"
+#include "observe/metrics.h"
+
+namespace citronwharf {
+
+/// What requests of a gateway share. Outlives them; loop's thread only.
+struct forward_environment {
+  boost::asio::io_context& loop;
+  const gateway_codec& codec;
+  http_pool& pool;
+  server_list& servers;
+  retry_budget& budget;
+  metric_registry& metrics;
+  std::mt19937_64& random;
+  std::string failure_domain;              ///< of this process
+  std::function<std::size_t()> processes;  ///< of the fleet
+  std::function<duration()> document_age;  ///< since it was last confirmed
+};
+
+/// A request that passed the filters.
+struct admitted_request {
+  caller_request caller;
+  std::unique_ptr<http_exchange> exchange;
+  std::shared_ptr<const routing_table> table;
+  const gateway_route* route = nullptr;      ///< in the table
+  const gateway_service* service = nullptr;  ///< in the table
+  std::string organisation;
+  time_point received;
+  time_point deadline;  ///< of the caller and the route, the earlier one
+  std::string trail;    ///< decisions so far
+};
+
+/// Common part of plain requests and streams. It ends by calling the `ended`
+/// hook once, in a later turn of the loop.
+class forward {
+ public:
+  forward(forward_environment& environment, admitted_request request);
+  virtual ~forward();
+  forward(const forward&) = delete;
+  forward& operator=(const forward&) = delete;
+
+  /// Starts. `ended` is called once the request is answered or given up on.
+  void start(std::function<void()> ended);
+
+ protected:
+  /// Makes the first attempt.
+  virtual void begin() = 0;
+  /// Ends what is under way at servers.
+  virtual void stop() = 0;
+  /// The deadline has passed.
+  virtual void on_deadline();
+
+  /// Adds a decision to the trail.
+  void note(const std::string& decision);
+  /// Refuses: nothing has run, and the caller may come back.
+  void refuse_not_run(const std::string& reason);
+  /// Fails: something may have run.
+  void fail_unknown(int status, const std::string& reason);
+  /// Passes a whole response on.
+  void deliver(http_response response, const std::string& reason);
+  /// Ends the request; the response is complete or broken off by now.
+  void finish(int status, const std::string& reason, bool good);
+  bool finished() const { return finished_; }
+
+  duration time_left() const;
+  /// What a server is told of the deadline.
+  milliseconds server_deadline() const;
+  /// Calls a member function after a span, unless that is cancelled before.
+  void arm(runtime_timer& timer, duration span, std::function<void()> expired);
+
+  forward_environment& environment() { return environment_; }
+  admitted_request& request() { return request_; }
+  const admitted_request& request() const { return request_; }
+  const gateway_route& route() const { return *request_.route; }
+  request_progress progress() const;
+
+  std::int64_t sends_ = 0;        // attempts at servers
+  std::int64_t servers_run_ = 0;  // that may have run the request
+  bool may_be_running_ = false;   // at a server, right now
+  std::set<std::string> tried_;   // ids
+  std::string last_server_;
+  // Shared with handlers that may come after the request is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+ private:
+  void on_caller_left();
+
+  forward_environment& environment_;
+  admitted_request request_;
+  runtime_timer deadline_timer_;
+  std::function<void()> ended_;
+  bool finished_ = false;
+};
+
+/// Answers a request that a filter refuses, and logs it.
+void answer_refused(forward_environment& environment, admitted_request& request,
+                    int status, const std::string& reason,
+                    std::optional<duration> retry_after);
+
+/// Makes the request that carries out a plain call, or a stream.
+std::unique_ptr<forward> make_plain_forward(forward_environment& environment,
+                                            admitted_request request);
+std::unique_ptr<forward> make_stream_forward(forward_environment& environment,
+                                             admitted_request request);
+
+/// Returns when a caller whose request was refused should come back: soon
+/// enough for its deadline, and spread so that callers don't return at once.
+/// Callers wait for a third of the time left at most.
+duration suggest_retry_after(duration objective, duration time_left,
+                             std::mt19937_64& random);
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_GATEWAY_FORWARD_H_
--- /dev/null
+++ b/src/gateway/gateway_role.cc
@@ -0,0 +1,359 @@
+#include "gateway/gateway_role.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <utility>
+
+#include "gateway/admission_filter.h"
+#include "gateway/allowance_client.h"
+#include "gateway/directory_reader.h"
+#include "gateway/forward.h"
+#include "gateway/operator_api.h"
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+constexpr int status_not_found = 404;
+// Operators' documents with some hundreds of routes.
+constexpr std::size_t max_operator_body_bytes = 16U << 20U;
+// Until a configuration says otherwise.
+constexpr duration retry_without_configuration = milliseconds(300);
+
+retry_budget_options make_budget(const gateway_settings& in) {
+  retry_budget_options out;
+  out.ratio = in.retry_ratio;
+  out.slack = in.retry_slack;
+  out.window = seconds(in.retry_window_s);
+  return out;
+}
+
+server_list_options make_server_options(const settings& in) {
+  server_list_options out;
+  out.failure_domain = in.failure_domain;
+  return out;
+}
+
+directory_reader_options make_directory_options(const gateway_settings& in) {
+  directory_reader_options out;
+  out.address = in.directory;
+  out.interval = milliseconds(in.directory_interval_ms);
+  return out;
+}
+
+class gateway_role final : public process_role {
+ public:
+  gateway_role(process_context& process, gateway_codec codec)
+      : process_(process),
+        codec_(std::move(codec)),
+        random_(process.incarnation),
+        pool_(process.loop, {}),
+        servers_(make_server_options(process.options), process.incarnation),
+        budget_(make_budget(process.options.gateway)),
+        cluster_(process),
+        allowances_(process.loop, process.peers, cluster_,
+                    [this](const std::string& name) { return limit_of(name); }),
+        directory_(process.loop, codec_, pool_,
+                   make_directory_options(process.options.gateway),
+                   process.incarnation),
+        table_(std::make_shared<const routing_table>(gateway_configuration{})),
+        environment_{process.loop,
+                     codec_,
+                     pool_,
+                     servers_,
+                     budget_,
+                     process.metrics,
+                     random_,
+                     process.options.failure_domain,
+                     [this] { return cluster_.follower().processes(); },
+                     [this] { return document_age(); }},
+        drain_timer_(process.loop) {}
+
+  absl::Status start() override;
+  void drain(std::function<void()> done) override;
+  bool ready() const override {
+    return !draining_ && table_->version() != 0 && !servers_.empty() &&
+           cluster_.follower().fresh(runtime_clock::now());
+  }
+  std::map<std::string, std::uint16_t> ports() const override { return ports_; }
+  void reload(const settings& options) override {
+    cluster_.set_seeds(options.gateway.seeds);
+  }
+
+ private:
+  absl::Status listen(std::unique_ptr<http_server>& server,
+                      const std::string& name, const http_server_options& with,
+                      http_server::handler handler);
+  absl::Status listen_for_callers();
+  void take_document(const published_document& in);
+  void handle(http_request message, std::unique_ptr<http_exchange> exchange);
+  void filter(admitted_request request);
+  void allow(admitted_request request, const gateway_organisation& of);
+  void take(admitted_request request);
+  std::string choose_service(const gateway_route& route);
+  allowance limit_of(const std::string& organisation) const;
+  duration document_age() const;
+  void end_if_idle();
+
+  process_context& process_;
+  gateway_codec codec_;
+  std::mt19937_64 random_;
+  http_pool pool_;
+  server_list servers_;
+  retry_budget budget_;
+  document_cluster cluster_;
+  allowance_client allowances_;
+  directory_reader directory_;
+  std::shared_ptr<const routing_table> table_;
+  forward_environment environment_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> readiness_;
+  std::unique_ptr<http_server> operators_;
+  std::map<std::string, std::uint16_t> ports_;
+  std::uint64_t last_forward_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<forward>> forwards_;
+  std::size_t asking_ = 0;  // requests that wait for their allowance
+  bool draining_ = false;
+  bool announced_ = false;  // balancers have noticed the drain
+  runtime_timer drain_timer_;
+  std::function<void()> drained_;
+};
+
+absl::Status gateway_role::listen(std::unique_ptr<http_server>& server,
+                                  const std::string& name,
+                                  const http_server_options& with,
+                                  http_server::handler handler) {
+  server =
+      std::make_unique<http_server>(process_.loop, with, std::move(handler));
+  const auto port = server->listen();
+  if (port.ok()) {
+    ports_[name] = *port;
+  }
+  return port.status();
+}
+
+absl::Status gateway_role::listen_for_callers() {
+  const limit_settings& limits = process_.options.limits;
+  http_server_options options;
+  options.listen = process_.options.listen.callers;
+  options.max_connections = static_cast<std::size_t>(limits.max_connections);
+  options.max_header_bytes = static_cast<std::size_t>(limits.max_header_bytes);
+  options.max_body_bytes = static_cast<std::size_t>(limits.max_body_bytes);
+  options.read_timeout = milliseconds(limits.read_timeout_ms);
+  options.idle_timeout = milliseconds(limits.idle_timeout_ms);
+  options.write_timeout = milliseconds(limits.write_timeout_ms);
+  return listen(
+      callers_, "callers", options,
+      [this](http_request request, std::unique_ptr<http_exchange> exchange) {
+        handle(std::move(request), std::move(exchange));
+      });
+}
+
+absl::Status gateway_role::start() {
+  http_server_options small;
+  small.listen = process_.options.gateway.readiness;
+  absl::Status started = listen(
+      readiness_, "readiness", small,
+      [this](const http_request& request,
+             std::unique_ptr<http_exchange> exchange) {
+        const int status = !codec_.asks_readiness(request) ? status_not_found
+                           : ready()                       ? status_ok
+                                                           : status_unavailable;
+        exchange->respond(json_response(status, "{}"));
+      });
+  if (!started.ok()) {
+    return started;
+  }
+  http_server_options large;
+  large.listen = process_.options.gateway.operators;
+  large.max_body_bytes = max_operator_body_bytes;
+  started = listen(operators_, "operators", large,
+                   make_operator_handler(codec_, cluster_));
+  if (!started.ok()) {
+    return started;
+  }
+  started = listen_for_callers();
+  if (!started.ok()) {
+    return started;
+  }
+  directory_.start([this](const std::vector<listed_server>& listed) {
+    if (servers_.replace(listed)) {
+      log_event(events::directory_read, servers_.size(), servers_.leaving(), 0);
+    }
+  });
+  return cluster_.start(
+      [this](const published_document& in) { take_document(in); });
+}
+
+// The document was checked before it was published; a process of an older
+// version may still not know all of it.
+void gateway_role::take_document(const published_document& in) {
+  auto read = codec_.read_configuration(in.text);
+  if (!read.ok()) {
+    log_event(events::settings_reloaded, "configuration",
+              read.status().ToString());
+    return;
+  }
+  table_ = std::make_shared<const routing_table>(*std::move(read));
+  process_.metrics.set("citronwharf_gateway_configuration_version", {},
+                       static_cast<double>(in.version));
+}
+
+allowance gateway_role::limit_of(const std::string& organisation) const {
+  const gateway_organisation* found = table_->organisation_named(organisation);
+  return found == nullptr
+             ? to_allowance(0, 0)
+             : to_allowance(found->tokens_per_second, found->burst_tokens);
+}
+
+// Since a majority last confirmed the document.
+duration gateway_role::document_age() const {
+  const document_follower_options defaults;
+  const time_point confirmed =
+      cluster_.follower().fresh_until() - defaults.lease;
+  return runtime_clock::now() - confirmed;
+}
+
+void gateway_role::handle(http_request message,
+                          std::unique_ptr<http_exchange> exchange) {
+  admitted_request request;
+  request.received = runtime_clock::now();
+  request.caller = codec_.read_request(std::move(message));
+  request.exchange = std::move(exchange);
+  request.table = table_;
+  filter(std::move(request));
+}
+
+void gateway_role::filter(admitted_request request) {
+  const time_point now = runtime_clock::now();
+  const filter_result found = pass_filters(*request.table, request.caller,
+                                           cluster_.follower().fresh(now));
+  request.route = found.route;
+  if (found.refusal) {
+    const auto wait = found.refusal->come_back
+                          ? std::optional<duration>(retry_without_configuration)
+                          : std::nullopt;
+    answer_refused(environment_, request, found.refusal->status,
+                   found.refusal->reason, wait);
+    return;
+  }
+  request.service = request.table->find_service(choose_service(*found.route));
+  const milliseconds route_limit(found.route->timeout_ms);
+  request.deadline =
+      request.received +
+      std::min(route_limit, request.caller.deadline.value_or(route_limit));
+  budget_.request(request.service->name, now);
+  if (found.organisation == nullptr) {
+    take(std::move(request));
+    return;
+  }
+  request.organisation = found.organisation->name;
+  if (found.organisation->tokens_per_second <= 0) {
+    take(std::move(request));
+    return;
+  }
+  allow(std::move(request), *found.organisation);
+}
+
+void gateway_role::allow(admitted_request request,
+                         const gateway_organisation& of) {
+  const double tokens = allowance_tokens(of, request.caller);
+  // Shared, since std::function asks for closures that can be copied.
+  auto held = std::make_shared<admitted_request>(std::move(request));
+  ++asking_;
+  const std::string& organisation = held->organisation;
+  allowances_.take(
+      organisation, tokens, [this, held](const allowance_answer& answer) {
+        --asking_;
+        held->trail =
+            fmt::format("allowance({},{})",
+                        answer.granted ? "granted" : "refused", answer.source);
+        if (answer.granted) {
+          take(std::move(*held));
+        } else {
+          answer_refused(environment_, *held, status_too_many, "over_allowance",
+                         answer.wait);
+        }
+        end_if_idle();
+      });
+}
+
+void gateway_role::take(admitted_request request) {
+  const bool stream = request.route->stream;
+  auto made = stream ? make_stream_forward(environment_, std::move(request))
+                     : make_plain_forward(environment_, std::move(request));
+  const std::uint64_t id = ++last_forward_;
+  forward& started = *(forwards_[id] = std::move(made));
+  started.start([this, id] {
+    forwards_.erase(id);
+    end_if_idle();
+  });
+}
+
+std::string gateway_role::choose_service(const gateway_route& route) {
+  std::int64_t total = 0;
+  for (const weighted_service& each : route.services) {
+    total += each.weight;
+  }
+  std::uniform_int_distribution<std::int64_t> draw(0, total - 1);
+  std::int64_t left = draw(random_);
+  for (const weighted_service& each : route.services) {
+    left -= each.weight;
+    if (left < 0) {
+      return each.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+// Goes on accepting until balancers have noticed; each response asks its
+// caller to come back on another connection.
+void gateway_role::drain(std::function<void()> done) {
+  draining_ = true;
+  drained_ = std::move(done);
+  callers_->close_after_responses();
+  drain_timer_.expires_after(
+      milliseconds(process_.options.gateway.drain_announce_ms));
+  drain_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      announced_ = true;
+      callers_->stop_accepting();
+      end_if_idle();
+    }
+  });
+}
+
+void gateway_role::end_if_idle() {
+  if (announced_ && drained_ && forwards_.empty() && asking_ == 0 &&
+      callers_->connections() == 0) {
+    const auto done = std::move(drained_);
+    drained_ = nullptr;
+    done();
+    return;
+  }
+  if (announced_ && drained_) {
+    // Responses are still being written.
+    constexpr duration look_again = milliseconds(20);
+    drain_timer_.expires_after(look_again);
+    drain_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        end_if_idle();
+      }
+    });
+  }
+}
+
+}  // namespace
+
+std::unique_ptr<process_role> make_gateway_role(process_context& process,
+                                                gateway_codec codec) {
+  return std::make_unique<gateway_role>(process, std::move(codec));
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/gateway/operator_api.cc
@@ -0,0 +1,82 @@
+#include "gateway/operator_api.h"
+
+#include <memory>
+#include <utility>
+
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_invalid = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+// Shared, since std::function asks for closures that can be copied.
+using shared_exchange = std::shared_ptr<http_exchange>;
+
+void answer(const gateway_codec& codec, const shared_exchange& exchange,
+            const char* request, std::uint64_t version, int status,
+            const std::string& reason) {
+  log_event(events::operator_answered, request, version, status, reason);
+  exchange->respond(codec.make_refusal(status, reason, std::nullopt));
+}
+
+void publish(const gateway_codec& codec, document_cluster& cluster,
+             http_request request, const shared_exchange& exchange) {
+  const auto read = codec.read_configuration(request.body);
+  if (!read.ok()) {
+    answer(codec, exchange, "publish", 0, status_invalid,
+           std::string(read.status().message()));
+    return;
+  }
+  const std::uint64_t version = read->version;
+  cluster.publish(version, std::move(request.body),
+                  [&codec, exchange, version](const absl::Status& done) {
+                    answer(
+                        codec, exchange, "publish", version,
+                        done.ok() ? status_ok : status_unavailable,
+                        done.ok() ? "accepted" : std::string(done.message()));
+                  });
+}
+
+void read(const gateway_codec& codec, document_cluster& cluster,
+          const shared_exchange& exchange) {
+  cluster.follower().read([&codec, &cluster, exchange](bool newest) {
+    const published_document& current = cluster.follower().current();
+    if (!newest || current.version == 0) {
+      answer(codec, exchange, "read", current.version, status_unavailable,
+             newest ? "no configuration yet"
+                    : "no majority confirmed the newest configuration");
+      return;
+    }
+    log_event(events::operator_answered, "read", current.version, status_ok,
+              "newest");
+    exchange->respond(json_response(status_ok, current.text));
+  });
+}
+
+}  // namespace
+
+http_server::handler make_operator_handler(const gateway_codec& codec,
+                                           document_cluster& cluster) {
+  return [&codec, &cluster](http_request request,
+                            std::unique_ptr<http_exchange> exchange) {
+    const shared_exchange held = std::move(exchange);
+    switch (codec.read_operator(request).what) {
+      case operator_request::verb::publish:
+        publish(codec, cluster, std::move(request), held);
+        return;
+      case operator_request::verb::read:
+        read(codec, cluster, held);
+        return;
+      case operator_request::verb::unknown:
+        answer(codec, held, "unknown", 0, status_not_found,
+               "unknown path " + request.target);
+        return;
+    }
+  };
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/gateway/operator_api.h
@@ -0,0 +1,18 @@
+/// Operators' side of a gateway: publishing and reading the configuration.
+#ifndef CITRONWHARF_GATEWAY_OPERATOR_API_H_
+#define CITRONWHARF_GATEWAY_OPERATOR_API_H_
+
+#include "control/document_cluster.h"
+#include "gateway/codec.h"
+#include "net/http_server.h"
+
+namespace citronwharf {
+
+/// Returns the handler of the operators' listener. Preconditions: the arguments
+/// outlive it.
+http_server::handler make_operator_handler(const gateway_codec& codec,
+                                           document_cluster& cluster);
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_GATEWAY_OPERATOR_API_H_
--- /dev/null
+++ b/src/gateway/plain_forward.cc
@@ -0,0 +1,211 @@
+// Plain requests: the response is read whole before the caller gets any of it,
+// so that a broken one can be replaced where the request may be repeated.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/forward.h"
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+// A lost SYN is sent again after a second; another server is nearer than that.
+constexpr duration connect_timeout = milliseconds(250);
+// A kept connection may have been closed by the server without our knowing. A
+// request that can't be repeated takes only one that was used just now.
+constexpr duration max_idle_at_most_once = milliseconds(1500);
+// An idempotent request goes to another server when the first is silent for
+// this many times the latency objective.
+constexpr int silent_objectives = 2;
+
+class plain_forward final : public forward {
+ public:
+  plain_forward(forward_environment& environment, admitted_request request)
+      : forward(environment, std::move(request)), silence_(environment.loop) {}
+  ~plain_forward() override { stop(); }
+  plain_forward(const plain_forward&) = delete;
+  plain_forward& operator=(const plain_forward&) = delete;
+
+ private:
+  void begin() override { attempt(); }
+
+  void stop() override {
+    end_call(server_result::abandoned);
+    boost::system::error_code ignored;
+    silence_.cancel(ignored);
+  }
+
+  void attempt() {
+    server_need need;
+    need.service = request().service->name;
+    need.near = environment().failure_domain;
+    need.excluded = tried_;
+    const time_point now = runtime_clock::now();
+    auto chosen = environment().servers.choose(need, now);
+    if (!chosen) {
+      note("no_server");
+      give_up();
+      return;
+    }
+    send_to(*chosen);
+  }
+
+  void send_to(const chosen_server& chosen) {
+    const listed_server& server = chosen.server;
+    ++sends_;
+    may_be_running_ = true;
+    last_server_ = server.id;
+    tried_.insert(server.id);
+    report_ = {};
+    response_ = {};
+    note(fmt::format("send({},{},in_flight={},load={})", server.id,
+                     server.address, chosen.in_flight, chosen.reported));
+    environment().servers.started(server.id, 0);
+    at_server_ = true;
+    server_call call;
+    call.organisation = request().organisation;
+    call.instance = server.id;
+    call.deadline = server_deadline();
+    call_ = environment().pool.start(
+        pooled(server), environment().codec.make_call(request().caller, call),
+        handlers());
+    watch_silence();
+  }
+
+  pooled_call pooled(const listed_server& server) {
+    pooled_call out;
+    out.address = server.address;
+    out.connect_timeout = connect_timeout;
+    if (route().repeat == repeatability::at_most_once) {
+      out.max_idle = max_idle_at_most_once;
+    }
+    // A late response to an earlier request may stand before the own one.
+    out.accepts = [id = request().caller.id,
+                   &codec = environment().codec](const http_response& head) {
+      const std::string echoed = codec.read_answer(head).request_id;
+      return echoed.empty() || id.empty() || echoed == id;
+    };
+    return out;
+  }
+
+  http_call_handlers handlers() {
+    http_call_handlers out;
+    out.on_head = [this](const http_response& head) { response_ = head; };
+    out.on_body = [this](const std::string& part) { response_.body += part; };
+    out.on_done = [this] { on_answer(); };
+    out.on_failure = [this](const http_failure& failure) {
+      note(fmt::format("lost({},sent={})",
+                       std::string(failure.status.message()), failure.sent));
+      report_.sent = failure.sent;
+      settle(server_result::failed);
+    };
+    return out;
+  }
+
+  void watch_silence() {
+    const bool may_go_elsewhere = route().repeat == repeatability::idempotent &&
+                                  servers_run_ + 1 < route().max_servers;
+    if (!may_go_elsewhere) {
+      return;
+    }
+    arm(silence_, milliseconds(route().objective_ms * silent_objectives),
+        [this] {
+          note("silent");
+          report_.sent = true;
+          call_.reset();
+          settle(server_result::timed_out);
+        });
+  }
+
+  void on_answer() {
+    const server_answer answer = environment().codec.read_answer(response_);
+    if (answer.load) {
+      environment().servers.reported(last_server_, *answer.load,
+                                     runtime_clock::now());
+    }
+    note(fmt::format("answer({},not_run={})", answer.status, answer.not_run));
+    report_.sent = true;
+    report_.answered = true;
+    report_.not_run = answer.not_run;
+    report_.status = answer.status;
+    constexpr int misdirected = 421;
+    if (answer.status == misdirected) {
+      environment().servers.distrust(last_server_, runtime_clock::now());
+    }
+    settle(answer.not_run ? server_result::refused : server_result::served);
+  }
+
+  void end_call(server_result result) {
+    call_.reset();
+    if (!at_server_) {
+      return;
+    }
+    at_server_ = false;
+    const auto ejected = environment().servers.ended(last_server_, 0, result,
+                                                     runtime_clock::now());
+    if (ejected) {
+      log_event(events::server_ejected, last_server_, ejected->count() / 1000,
+                "plain");
+    }
+  }
+
+  void settle(server_result result) {
+    boost::system::error_code ignored;
+    silence_.cancel(ignored);
+    end_call(result);
+    may_be_running_ = false;
+    if (report_.sent && !report_.not_run) {
+      ++servers_run_;
+    }
+    verdict next = after_attempt(report_, progress());
+    if (next == verdict::retry) {
+      // A send that reached no server is no load on one.
+      const bool allowed =
+          !report_.sent || environment().budget.take(request().service->name,
+                                                     environment().processes(),
+                                                     runtime_clock::now());
+      if (allowed) {
+        attempt();
+        return;
+      }
+      note("no_budget");
+      next = without_retry(report_, progress());
+    }
+    conclude(next);
+  }
+
+  void give_up() { conclude(without_retry(report_, progress())); }
+
+  void conclude(verdict next) {
+    constexpr int bad_gateway = 502;
+    switch (next) {
+      case verdict::deliver:
+        deliver(std::move(response_), "answered");
+        break;
+      case verdict::refuse_not_run:
+        refuse_not_run(sends_ == 0 ? "no_server" : "servers_refused");
+        break;
+      case verdict::retry:
+      case verdict::fail_unknown:
+        fail_unknown(bad_gateway, "outcome_unknown");
+        break;
+    }
+  }
+
+  runtime_timer silence_;
+  std::unique_ptr<http_call> call_;
+  bool at_server_ = false;
+  attempt_report report_;
+  http_response response_;
+};
+
+}  // namespace
+
+std::unique_ptr<forward> make_plain_forward(forward_environment& environment,
+                                            admitted_request request) {
+  return std::make_unique<plain_forward>(environment, std::move(request));
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/gateway/server_list.cc
@@ -0,0 +1,187 @@
+#include "gateway/server_list.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace citronwharf {
+namespace {
+
+// Added to the load of a server in another failure domain: enough to decide
+// between equals.
+constexpr double distance_cost = 0.02;
+// Added for a server that failed lately, so that it only serves as the last
+// resort.
+constexpr double ejected_cost = 1000;
+constexpr double full_cost = 10;
+// Breaks ties, so that gateways don't all choose the same server.
+constexpr double tie_break = 0.01;
+
+}  // namespace
+
+bool operator==(const listed_server& lhs, const listed_server& rhs) {
+  return lhs.id == rhs.id && lhs.service == rhs.service &&
+         lhs.address == rhs.address &&
+         lhs.failure_domain == rhs.failure_domain && lhs.slots == rhs.slots &&
+         lhs.leaving == rhs.leaving && lhs.stage == rhs.stage;
+}
+bool operator!=(const listed_server& lhs, const listed_server& rhs) {
+  return !(lhs == rhs);
+}
+
+server_list::server_list(server_list_options options, std::uint64_t seed)
+    : options_(std::move(options)), random_(seed) {}
+
+bool server_list::replace(const std::vector<listed_server>& listed) {
+  bool changed = false;
+  std::set<std::string> ids;
+  for (const listed_server& each : listed) {
+    ids.insert(each.id);
+    server_state& state = servers_[each.id];
+    changed = changed || state.listed != each;
+    state.listed = each;
+  }
+  for (auto each = servers_.begin(); each != servers_.end();) {
+    const bool gone = ids.count(each->first) == 0;
+    changed = changed || gone;
+    each = gone ? servers_.erase(each) : std::next(each);
+  }
+  return changed;
+}
+
+std::size_t server_list::leaving() const {
+  return static_cast<std::size_t>(std::count_if(
+      servers_.begin(), servers_.end(),
+      [](const auto& each) { return each.second.listed.leaving; }));
+}
+
+bool server_list::is_full(const server_state& state, const server_need& need) {
+  if (need.kv_tokens > 0 && state.tokens + need.tokens > need.kv_tokens) {
+    return true;
+  }
+  return state.listed.slots > 0 && state.in_flight >= state.listed.slots;
+}
+
+double server_list::cost(const server_state& state, const server_need& need,
+                         time_point now) {
+  std::int64_t busy = state.in_flight;
+  if (state.load && now - state.load_at < options_.load_lifetime) {
+    busy = std::max(busy, state.load->running + state.load->waiting);
+  }
+  const auto slots =
+      static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
+  double cost = static_cast<double>(busy) / slots;
+  if (need.kv_tokens > 0) {
+    cost = std::max(cost, static_cast<double>(state.tokens) /
+                              static_cast<double>(need.kv_tokens));
+  }
+  if (!need.near.empty() && state.listed.failure_domain != need.near) {
+    cost += distance_cost;
+  }
+  if (is_full(state, need)) {
+    cost += full_cost;
+  }
+  if (now < state.ejected_until) {
+    cost += ejected_cost;
+  }
+  std::uniform_real_distribution<double> noise(0, tie_break);
+  return cost + noise(random_);
+}
+
+std::optional<chosen_server> server_list::choose(const server_need& need,
+                                                 time_point now) {
+  const server_state* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  for (const auto& [id, state] : servers_) {
+    const listed_server& listed = state.listed;
+    if (listed.service != need.service || listed.leaving ||
+        need.excluded.count(id) != 0 ||
+        (need.stage != engine_stage::none && listed.stage != need.stage)) {
+      continue;
+    }
+    const double own = cost(state, need, now);
+    if (own < best_cost) {
+      best = &state;
+      best_cost = own;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  chosen_server out;
+  out.server = best->listed;
+  out.in_flight = best->in_flight;
+  out.full = is_full(*best, need);
+  if (best->load && now - best->load_at < options_.load_lifetime) {
+    out.reported = best->load->running + best->load->waiting;
+  }
+  return out;
+}
+
+void server_list::started(const std::string& id, std::int64_t tokens) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    ++found->second.in_flight;
+    found->second.tokens += tokens;
+  }
+}
+
+duration server_list::eject(server_state& state, time_point now) const {
+  state.ejection = state.ejection == duration{}
+                       ? options_.initial_ejection
+                       : std::min(options_.max_ejection, state.ejection * 2);
+  state.ejected_until = now + state.ejection;
+  return state.ejection;
+}
+
+std::optional<duration> server_list::ended(const std::string& id,
+                                           std::int64_t tokens,
+                                           server_result result,
+                                           time_point now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) {
+    return std::nullopt;
+  }
+  server_state& state = found->second;
+  state.in_flight = std::max<std::int64_t>(0, state.in_flight - 1);
+  state.tokens = std::max<std::int64_t>(0, state.tokens - tokens);
+  switch (result) {
+    case server_result::served:
+      state.failures = 0;
+      state.ejection = duration{};
+      state.ejected_until = time_point{};
+      return std::nullopt;
+    case server_result::refused:
+    case server_result::abandoned:
+      return std::nullopt;
+    case server_result::timed_out:
+      state.failures = options_.failures_to_eject;
+      break;
+    case server_result::failed:
+      ++state.failures;
+      break;
+  }
+  if (state.failures >= options_.failures_to_eject &&
+      now >= state.ejected_until) {
+    return eject(state, now);
+  }
+  return std::nullopt;
+}
+
+void server_list::reported(const std::string& id, const server_load& load,
+                           time_point now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    found->second.load = load;
+    found->second.load_at = now;
+  }
+}
+
+void server_list::distrust(const std::string& id, time_point now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    eject(found->second, now);
+  }
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/src/gateway/server_list.h
@@ -0,0 +1,110 @@
+/// The servers of all services as a gateway believes them to be: what the
+/// directory lists, what their responses tell, and what this process itself
+/// has sent. Chooses the server of a request.
+#ifndef CITRONWHARF_GATEWAY_SERVER_LIST_H_
+#define CITRONWHARF_GATEWAY_SERVER_LIST_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "gateway/codec.h"
+
+namespace citronwharf {
+
+struct server_list_options {
+  std::string failure_domain;  ///< of this process
+  /// A load that a server reported is believed for so long.
+  duration load_lifetime = milliseconds(500);
+  /// How long a server that failed gets no requests; doubles with each further
+  /// failure.
+  duration initial_ejection = milliseconds(500);
+  duration max_ejection = seconds(4);
+  /// Failures in a row after which a server is ejected. One failure may be the
+  /// request's own.
+  int failures_to_eject = 2;
+};
+
+/// What is asked of a server.
+struct server_need {
+  std::string service;
+  engine_stage stage = engine_stage::none;  ///< none: any
+  std::int64_t tokens = 0;                  ///< of engine memory
+  std::int64_t kv_tokens = 0;      ///< that an engine has, 0: not counted
+  std::string near;                ///< failure domain that is preferred, or ""
+  std::set<std::string> excluded;  ///< ids
+};
+
+/// A server that was chosen, with what spoke for it.
+struct chosen_server {
+  listed_server server;
+  std::int64_t in_flight = 0;  ///< of this process
+  std::int64_t reported = -1;  ///< running and waiting there; -1: unknown
+  bool full = false;           ///< by the estimate, no place is free
+};
+
+/// How a request at a server ended.
+enum class server_result {
+  served,     ///< any whole response that is no failure of the server
+  refused,    ///< stated that it ran nothing
+  failed,     ///< reset, broke off, a 5xx
+  timed_out,  ///< silent for too long
+  abandoned   ///< the gateway or the caller lost interest
+};
+
+/// No I/O, no clock of its own. One thread.
+class server_list {
+ public:
+  server_list(server_list_options options, std::uint64_t seed);
+
+  /// Takes what the directory lists now. Returns whether it differs.
+  bool replace(const std::vector<listed_server>& listed);
+  bool empty() const { return servers_.empty(); }
+  std::size_t leaving() const;
+  std::size_t size() const { return servers_.size(); }
+
+  /// Chooses a server for a request; nothing when none is listed. Servers that
+  /// failed lately come last. Load it answers: many small gateways that share
+  /// few servers, whose own counts are fresh and whose reports are late.
+  std::optional<chosen_server> choose(const server_need& need, time_point now);
+
+  /// A request of so many tokens is sent to the server.
+  void started(const std::string& id, std::int64_t tokens);
+  /// It ended. Returns the span of an ejection that this starts.
+  std::optional<duration> ended(const std::string& id, std::int64_t tokens,
+                                server_result result, time_point now);
+  /// A response told the load.
+  void reported(const std::string& id, const server_load& load, time_point now);
+  /// The server said that it isn't the one that is listed, or that it leaves.
+  void distrust(const std::string& id, time_point now);
+
+ private:
+  struct server_state {
+    listed_server listed;
+    std::int64_t in_flight = 0;
+    std::int64_t tokens = 0;  // of the requests in flight
+    std::optional<server_load> load;
+    time_point load_at{};
+    int failures = 0;  // in a row
+    duration ejection{};
+    time_point ejected_until{};
+  };
+
+  double cost(const server_state& state, const server_need& need,
+              time_point now);
+  static bool is_full(const server_state& state, const server_need& need);
+  duration eject(server_state& state, time_point now) const;
+
+  server_list_options options_;
+  std::mt19937_64 random_;
+  std::map<std::string, server_state> servers_;  // by id
+};
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_GATEWAY_SERVER_LIST_H_
--- /dev/null
+++ b/src/gateway/stream_forward.cc
@@ -0,0 +1,446 @@
+// Generations: the prompt is prefilled on one engine, a decode engine fetches
+// the KV cache and streams. Where the prefill engines can't help, the decode
+// engine reads the prompt itself.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/event_splitter.h"
+#include "gateway/forward.h"
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr duration connect_timeout = milliseconds(250);
+constexpr duration max_idle_at_most_once = milliseconds(1500);
+// A prefill that takes longer than this is asked of another engine: the first
+// event would come too late for the usual objectives.
+constexpr duration prefill_timeout = milliseconds(450);
+// A KV cache this near to its end isn't worth a transfer.
+constexpr duration export_margin = milliseconds(120);
+// Silence after which a resumable stream goes on elsewhere. Callers leave
+// after two seconds at the earliest.
+constexpr duration first_event_timeout = milliseconds(1200);
+constexpr duration gap_timeout = milliseconds(900);
+constexpr int status_ok = 200;
+constexpr int status_bad_gateway = 502;
+
+class stream_forward final : public forward {
+ public:
+  stream_forward(forward_environment& environment, admitted_request request)
+      : forward(environment, std::move(request)), watch_(environment.loop) {
+    const caller_request& caller = this->request().caller;
+    prompt_tokens_ = caller.prompt_tokens.value_or(0);
+    tokens_ = prompt_tokens_ + caller.max_output_tokens.value_or(0);
+    last_event_ = caller.last_event;
+  }
+  ~stream_forward() override { stop(); }
+  stream_forward(const stream_forward&) = delete;
+  stream_forward& operator=(const stream_forward&) = delete;
+
+ private:
+  void begin() override { plan(); }
+
+  void stop() override {
+    end_call(server_result::abandoned);
+    drop_export();
+    boost::system::error_code ignored;
+    watch_.cancel(ignored);
+  }
+
+  std::int64_t engine_tokens() const {
+    const auto& engine = request().service->engine;
+    return engine ? engine->kv_tokens : 0;
+  }
+
+  server_need make_need(engine_stage stage) {
+    server_need need;
+    need.service = request().service->name;
+    need.stage = stage;
+    need.tokens = tokens_;
+    need.kv_tokens = engine_tokens();
+    need.near = environment().failure_domain;
+    need.excluded = tried_;
+    return need;
+  }
+
+  // Chooses the way of the next attempt.
+  void plan() {
+    const time_point now = runtime_clock::now();
+    server_list& servers = environment().servers;
+    decode_ = servers.choose(make_need(engine_stage::decode), now);
+    if (!decode_) {
+      decode_ = servers.choose(make_need(engine_stage::none), now);
+    }
+    if (!decode_) {
+      note("no_server");
+      conclude(without_retry(report_, progress()));
+      return;
+    }
+    server_need need = make_need(engine_stage::prefill);
+    need.near = decode_->server.failure_domain;
+    need.excluded = prefills_tried_;
+    const auto prefill = servers.choose(need, now);
+    if (decode_->server.stage == engine_stage::decode && prefill &&
+        !last_event_ && prefills_tried_.size() < max_prefills) {
+      start_prefill(*prefill);
+    } else {
+      start_decode();
+    }
+  }
+
+  void start_prefill(const chosen_server& chosen) {
+    const listed_server& server = chosen.server;
+    prefills_tried_.insert(server.id);
+    prefill_ = server;
+    note(fmt::format("prefill({},in_flight={})", server.id, chosen.in_flight));
+    server_call call;
+    call.stage = generation_stage::prefill;
+    http_call_handlers handlers = collect_response(
+        [this](absl::StatusOr<http_response> response, bool /*sent*/) {
+          on_prefill(std::move(response));
+        });
+    start_call(server, call, std::move(handlers));
+    arm(watch_, prefill_timeout, [this] {
+      note("prefill_silent");
+      end_call(server_result::timed_out);
+      prefill_failed();
+    });
+  }
+
+  void on_prefill(absl::StatusOr<http_response> response) {
+    disarm();
+    if (!response.ok()) {
+      note(fmt::format("prefill_lost({})",
+                       std::string(response.status().message())));
+      end_call(server_result::failed);
+      prefill_failed();
+      return;
+    }
+    if (response->status != status_ok) {
+      note(fmt::format("prefill_refused({})", response->status));
+      end_call(server_result::refused);
+      prefill_failed();
+      return;
+    }
+    end_call(server_result::served);
+    auto exported = environment().codec.read_prefill(response->body);
+    if (!exported.ok()) {
+      note(fmt::format("prefill_unreadable({})",
+                       std::string(exported.status().message())));
+      prefill_failed();
+      return;
+    }
+    export_ = *std::move(exported);
+    exported_at_ = runtime_clock::now();
+    note(fmt::format("prefilled({} tokens)", export_.tokens));
+    start_decode();
+  }
+
+  // Nothing has run. Each further prefill is one more send to the service.
+  void prefill_failed() {
+    if (prefills_tried_.size() < max_prefills && take_budget()) {
+      plan();
+    } else {
+      start_decode();
+    }
+  }
+
+  bool take_budget() {
+    return environment().budget.take(request().service->name,
+                                     environment().processes(),
+                                     runtime_clock::now());
+  }
+
+  void start_decode() {
+    const listed_server& server = decode_->server;
+    ++sends_;
+    may_be_running_ = true;
+    last_server_ = server.id;
+    tried_.insert(server.id);
+    report_ = {};
+    head_ = {};
+    error_body_.clear();
+    splitter_.reset();
+    response_begun_ = false;
+    server_call call;
+    if (!export_.handle.empty()) {
+      call.kv_source = fmt::format("{}/{}", prefill_.address, export_.handle);
+    }
+    call.last_event = last_event_;
+    note(fmt::format("decode({},in_flight={},load={},kv={})", server.id,
+                     decode_->in_flight, decode_->reported,
+                     export_.handle.empty() ? "own" : prefill_.id));
+    start_call(server, call, decode_handlers());
+    watch(first_event_timeout);
+  }
+
+  void start_call(const listed_server& server, server_call call,
+                  http_call_handlers handlers) {
+    call.organisation = request().organisation;
+    call.instance = server.id;
+    call.deadline = server_deadline();
+    environment().servers.started(server.id, tokens_);
+    at_server_ = server.id;
+    pooled_call pooled;
+    pooled.address = server.address;
+    pooled.connect_timeout = connect_timeout;
+    if (route().repeat == repeatability::at_most_once) {
+      pooled.max_idle = max_idle_at_most_once;
+    }
+    pooled.accepts = [id = request().caller.id,
+                      &codec = environment().codec](const http_response& head) {
+      const std::string echoed = codec.read_answer(head).request_id;
+      return echoed.empty() || id.empty() || echoed == id;
+    };
+    call_ = environment().pool.start(
+        pooled, environment().codec.make_call(request().caller, call),
+        std::move(handlers));
+  }
+
+  http_call_handlers decode_handlers() {
+    http_call_handlers out;
+    out.on_head = [this](const http_response& head) { on_head(head); };
+    out.on_body = [this](const std::string& part) { on_body(part); };
+    out.on_done = [this] { on_end(); };
+    out.on_failure = [this](const http_failure& failure) {
+      note(fmt::format("lost({},sent={})",
+                       std::string(failure.status.message()), failure.sent));
+      report_.sent = report_.sent || failure.sent;
+      settle(server_result::failed);
+    };
+    return out;
+  }
+
+  // Silence is only a reason to go elsewhere where the stream may be resumed.
+  void watch(duration limit) {
+    if (route().repeat == repeatability::at_most_once) {
+      return;
+    }
+    arm(watch_, limit, [this] {
+      note("silent");
+      report_.sent = true;
+      settle(server_result::timed_out);
+    });
+  }
+
+  void disarm() {
+    boost::system::error_code ignored;
+    watch_.cancel(ignored);
+  }
+
+  void on_head(const http_response& head) {
+    head_ = head;
+    report_.sent = true;
+    const server_answer answer = environment().codec.read_answer(head);
+    if (answer.load) {
+      environment().servers.reported(last_server_, *answer.load,
+                                     runtime_clock::now());
+    }
+    if (answer.status == status_ok) {
+      response_begun_ = true;
+      // Whatever the engine fetched, it has now.
+      export_ = {};
+    }
+  }
+
+  void on_body(const std::string& part) {
+    if (!response_begun_) {
+      error_body_ += part;
+      return;
+    }
+    for (const stream_event& event : splitter_.feed(part)) {
+      if (!relay(event)) {
+        return;
+      }
+    }
+    watch(gap_timeout);
+  }
+
+  // Returns whether the stream goes on.
+  bool relay(const stream_event& event) {
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+      note(fmt::format("event_out_of_order({} after {})", *event.id,
+                       *last_event_));
+      settle(server_result::failed);
+      return false;
+    }
+    if (!streaming_) {
+      streaming_ = true;
+      note("first_event");
+      request().exchange->start_stream(environment().codec.make_answer(head_));
+    }
+    request().exchange->write(event.bytes);
+    ++events_;
+    if (event.id) {
+      last_event_ = event.id;
+    }
+    return true;
+  }
+
+  void on_end() {
+    disarm();
+    if (response_begun_) {
+      if (splitter_.in_event() || events_ == 0) {
+        note("ended_in_event");
+        settle(server_result::failed);
+        return;
+      }
+      end_call(server_result::served);
+      request().exchange->finish();
+      note(fmt::format("events({})", events_));
+      finish(status_ok, "answered", true);
+      return;
+    }
+    const server_answer answer = environment().codec.read_answer(head_);
+    note(fmt::format("answer({},not_run={})", answer.status, answer.not_run));
+    report_.answered = true;
+    report_.not_run = answer.not_run;
+    report_.status = answer.status;
+    constexpr int misdirected = 421;
+    if (answer.status == misdirected) {
+      environment().servers.distrust(last_server_, runtime_clock::now());
+    }
+    settle(answer.not_run ? server_result::refused : server_result::served);
+  }
+
+  void end_call(server_result result) {
+    call_.reset();
+    if (at_server_.empty()) {
+      return;
+    }
+    const std::string server = std::exchange(at_server_, "");
+    const auto ejected = environment().servers.ended(server, tokens_, result,
+                                                     runtime_clock::now());
+    if (ejected) {
+      log_event(events::server_ejected, server, ejected->count() / 1000,
+                "stream");
+    }
+  }
+
+  // The attempt at the decode engine is over without a whole stream.
+  void settle(server_result result) {
+    disarm();
+    end_call(result);
+    may_be_running_ = false;
+    if (report_.sent && !report_.not_run) {
+      ++servers_run_;
+    }
+    if (!export_usable()) {
+      drop_export();
+    }
+    verdict next = after_attempt(report_, progress());
+    if (next == verdict::retry) {
+      if (!report_.sent || take_budget()) {
+        retry();
+        return;
+      }
+      note("no_budget");
+      next = without_retry(report_, progress());
+    }
+    conclude(next);
+  }
+
+  bool export_usable() const {
+    const auto& engine = request().service->engine;
+    return !export_.handle.empty() && engine &&
+           runtime_clock::now() - exported_at_ + export_margin <
+               milliseconds(engine->export_lifetime_ms);
+  }
+
+  void retry() {
+    if (!export_usable()) {
+      plan();
+      return;
+    }
+    server_need need = make_need(engine_stage::decode);
+    need.near = prefill_.failure_domain;
+    decode_ = environment().servers.choose(need, runtime_clock::now());
+    if (decode_) {
+      start_decode();
+    } else {
+      drop_export();
+      conclude(without_retry(report_, progress()));
+    }
+  }
+
+  void drop_export() {
+    if (export_.handle.empty()) {
+      return;
+    }
+    pooled_call pooled;
+    pooled.address = prefill_.address;
+    pooled.connect_timeout = connect_timeout;
+    // The engine frees it by itself before long, so that a lost call is no
+    // matter; the pool keeps the call until it ends.
+    environment().pool.run_detached(
+        pooled, environment().codec.drop_prefill(export_.handle));
+    export_ = {};
+  }
+
+  void conclude(verdict next) {
+    if (streaming_) {
+      // The caller must see that the stream broke off.
+      finish(status_bad_gateway, "stream_broke_off", false);
+      return;
+    }
+    switch (next) {
+      case verdict::deliver: {
+        http_response response = head_;
+        response.body = std::move(error_body_);
+        deliver(std::move(response), "answered");
+        break;
+      }
+      case verdict::refuse_not_run:
+        refuse_not_run(sends_ == 0 ? "no_server" : "servers_refused");
+        break;
+      case verdict::retry:
+      case verdict::fail_unknown:
+        fail_unknown(status_bad_gateway, "outcome_unknown");
+        break;
+    }
+  }
+
+  void on_deadline() override {
+    if (streaming_) {
+      note("deadline");
+      stop();
+      finish(status_bad_gateway, "deadline", false);
+      return;
+    }
+    forward::on_deadline();
+  }
+
+  // Prefills of one request at most: each costs as much as many tokens.
+  static constexpr std::size_t max_prefills = 2;
+
+  runtime_timer watch_;
+  std::unique_ptr<http_call> call_;
+  std::string at_server_;  // id, "" without a call
+  std::int64_t prompt_tokens_ = 0;
+  std::int64_t tokens_ = 0;
+  std::set<std::string> prefills_tried_;  // ids
+  listed_server prefill_;
+  exported_prefill export_;  // handle "" without one
+  time_point exported_at_{};
+  std::optional<chosen_server> decode_;
+  attempt_report report_;
+  http_response head_;
+  std::string error_body_;
+  event_splitter splitter_;
+  bool response_begun_ = false;  // with success, at the present server
+  bool streaming_ = false;       // towards the caller
+  std::int64_t events_ = 0;
+  std::optional<std::int64_t> last_event_;  // that the caller has
+};
+
+}  // namespace
+
+std::unique_ptr<forward> make_stream_forward(forward_environment& environment,
+                                             admitted_request request) {
+  return std::make_unique<stream_forward>(environment, std::move(request));
+}
+
+}  // namespace citronwharf
