Decode memory is held before a prompt is read, for the expected output

Engines lend memory for a moment, so that is asked first, from three engines in turn, then again while the first event can be in time.

--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -55,7 +55,11 @@
       [](const auto& each) { return each.second.listed.leaving; }));
 }
 
-bool server_list::is_full(const server_state& state, const server_need& need) {
+bool server_list::is_full(const server_state& state, const server_need& need,
+                          time_point now) {
+  if (now < state.full_until) {
+    return true;
+  }
   if (need.kv_tokens > 0 && state.tokens + need.tokens > need.kv_tokens) {
     return true;
   }
@@ -72,13 +76,15 @@
       static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
   double cost = static_cast<double>(busy) / slots;
   if (need.kv_tokens > 0) {
-    cost = std::max(cost, static_cast<double>(state.tokens) /
-                              static_cast<double>(need.kv_tokens));
+    // A request in another gateway's count takes about as much memory as this.
+    const auto tokens = static_cast<double>(
+        std::max(state.tokens, busy * std::max<std::int64_t>(need.tokens, 1)));
+    cost = std::max(cost, tokens / static_cast<double>(need.kv_tokens));
   }
   if (!need.near.empty() && state.listed.failure_domain != need.near) {
     cost += distance_cost;
   }
-  if (is_full(state, need)) {
+  if (is_full(state, need, now)) {
     cost += full_cost;
   }
   if (now < state.ejected_until) {
@@ -111,7 +117,7 @@
   chosen_server out;
   out.server = best->listed;
   out.in_flight = best->in_flight;
-  out.full = is_full(*best, need);
+  out.full = is_full(*best, need, now);
   if (best->load && now - best->load_at < options_.load_lifetime) {
     out.reported = best->load->running + best->load->waiting;
   }
@@ -168,6 +174,13 @@
   return std::nullopt;
 }
 
+void server_list::refused(const std::string& id, time_point now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    found->second.full_until = now + options_.full_lifetime;
+  }
+}
+
 void server_list::reported(const std::string& id, const server_load& load,
                            time_point now) {
   const auto found = servers_.find(id);
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -25,6 +25,9 @@
   /// failure.
   duration initial_ejection = milliseconds(500);
   duration max_ejection = seconds(4);
+  /// A server that had no memory or place is taken for full for so long; about
+  /// the time in which one of its requests ends.
+  duration full_lifetime = milliseconds(50);
   /// Failures in a row after which a server is ejected. One failure may be the
   /// request's own.
   int failures_to_eject = 2;
@@ -45,7 +48,7 @@
   listed_server server;
   std::int64_t in_flight = 0;  ///< of this process
   std::int64_t reported = -1;  ///< running and waiting there; -1: unknown
-  bool full = false;           ///< by the estimate, no place is free
+  bool full = false;           ///< as far as is known, no place is free
 };
 
 /// How a request at a server ended.
@@ -78,6 +81,8 @@
   /// It ended. Returns the span of an ejection that this starts.
   std::optional<duration> ended(const std::string& id, std::int64_t tokens,
                                 server_result result, time_point now);
+  /// The server had no place for a request.
+  void refused(const std::string& id, time_point now);
   /// A response told the load.
   void reported(const std::string& id, const server_load& load, time_point now);
   /// The server said that it isn't the one that is listed, or that it leaves.
@@ -90,6 +95,7 @@
     std::int64_t tokens = 0;  // of the requests in flight
     std::optional<server_load> load;
     time_point load_at{};
+    time_point full_until{};
     int failures = 0;  // in a row
     duration ejection{};
     time_point ejected_until{};
@@ -97,7 +103,8 @@
 
   double cost(const server_state& state, const server_need& need,
               time_point now);
-  static bool is_full(const server_state& state, const server_need& need);
+  static bool is_full(const server_state& state, const server_need& need,
+                      time_point now);
   duration eject(server_state& state, time_point now) const;
 
   server_list_options options_;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -24,6 +24,20 @@
 // after two seconds at the earliest.
 constexpr duration first_event_timeout = milliseconds(1200);
 constexpr duration gap_timeout = milliseconds(900);
+// Memory that is made sure of for the output, as a share of its limit: what an
+// answer holds over its life on average. Most answers end long before their
+// limit, and memory kept for all of it would keep others waiting.
+constexpr double expected_output_share = 0.25;
+// Covers a prefill behind some others.
+constexpr milliseconds hold_lifetime(1200);
+constexpr duration hold_margin = milliseconds(50);
+constexpr duration hold_timeout = milliseconds(200);
+// Engines that are asked before a request waits.
+constexpr std::size_t max_holds_a_round = 3;
+// Requests end every few dozen milliseconds at a full engine.
+constexpr duration hold_wait = milliseconds(50);
+// From the hold to the first event, with a short queue at the prefill engine.
+constexpr duration usual_first_event = milliseconds(300);
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 
@@ -33,7 +47,10 @@
       : forward(environment, std::move(request)), watch_(environment.loop) {
     const caller_request& caller = this->request().caller;
     prompt_tokens_ = caller.prompt_tokens.value_or(0);
-    tokens_ = prompt_tokens_ + caller.max_output_tokens.value_or(0);
+    tokens_ = prompt_tokens_ +
+              static_cast<std::int64_t>(
+                  expected_output_share *
+                  static_cast<double>(caller.max_output_tokens.value_or(0)));
     last_event_ = caller.last_event;
   }
   ~stream_forward() override { stop(); }
@@ -44,7 +61,9 @@
   void begin() override { plan(); }
 
   void stop() override {
+    hold_call_.reset();
     end_call(server_result::abandoned);
+    drop_hold();
     drop_export();
     boost::system::error_code ignored;
     watch_.cancel(ignored);
@@ -63,10 +82,12 @@
     need.kv_tokens = engine_tokens();
     need.near = environment().failure_domain;
     need.excluded = tried_;
+    need.excluded.insert(full_.begin(), full_.end());
     return need;
   }
 
-  // Chooses the way of the next attempt.
+  // Chooses the decode engine and makes sure of its memory, before a prompt is
+  // read that nobody could take.
   void plan() {
     const time_point now = runtime_clock::now();
     server_list& servers = environment().servers;
@@ -79,6 +100,92 @@
       conclude(without_retry(report_, progress()));
       return;
     }
+    const auto& engine = request().service->engine;
+    if (engine && engine->max_hold_ms > 0 && tokens_ > 0) {
+      take_hold(decode_->server, milliseconds(engine->max_hold_ms));
+    } else {
+      go_on();
+    }
+  }
+
+  void take_hold(const listed_server& server, milliseconds max_lifetime) {
+    const milliseconds lifetime = std::min(max_lifetime, hold_lifetime);
+    hold_until_ = runtime_clock::now() + lifetime;
+    at_hold_ = server;
+    pooled_call pooled;
+    pooled.address = server.address;
+    pooled.connect_timeout = connect_timeout;
+    hold_call_ = environment().pool.fetch(
+        pooled, environment().codec.take_hold(tokens_, lifetime),
+        [this](absl::StatusOr<http_response> response, bool /*sent*/) {
+          on_hold(std::move(response));
+        });
+    arm(watch_, hold_timeout, [this] {
+      hold_call_.reset();
+      on_hold(absl::DeadlineExceededError("no answer in time"));
+    });
+  }
+
+  void on_hold(absl::StatusOr<http_response> response) {
+    disarm();
+    const std::string& id = at_hold_.id;
+    const time_point now = runtime_clock::now();
+    if (!response.ok()) {
+      note(fmt::format("hold_lost({},{})", id,
+                       std::string(response.status().message())));
+      environment().servers.distrust(id, now);
+      hold_refused();
+      return;
+    }
+    auto hold = response->status == status_ok
+                    ? environment().codec.read_hold(response->body)
+                    : absl::StatusOr<std::string>(
+                          absl::ResourceExhaustedError("no memory"));
+    if (!hold.ok()) {
+      environment().servers.refused(id, now);
+      hold_refused();
+      return;
+    }
+    hold_ = *std::move(hold);
+    note(fmt::format("hold({},tokens={},refused={},waits={})", id, tokens_,
+                     holds_refused_, waits_));
+    go_on();
+  }
+
+  // Looks at the other engines first, then waits for memory to come free as
+  // long as the first event can still be in time.
+  void hold_refused() {
+    ++holds_refused_;
+    full_.insert(at_hold_.id);
+    if (full_.size() < max_holds_a_round &&
+        environment().servers.choose(make_need(engine_stage::decode),
+                                     runtime_clock::now())) {
+      plan();
+      return;
+    }
+    full_.clear();
+    const duration waited = runtime_clock::now() - request().received;
+    const duration spare =
+        milliseconds(route().objective_ms) - usual_first_event;
+    if (waited + hold_wait > spare) {
+      note(fmt::format("no_memory(refused={},waits={})", holds_refused_,
+                       waits_));
+      conclude(without_retry(report_, progress()));
+      return;
+    }
+    ++waits_;
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    arm(watch_,
+        std::chrono::duration_cast<duration>(hold_wait *
+                                             spread(environment().random)),
+        [this] { plan(); });
+  }
+
+  // With the memory sure, chooses who reads the prompt.
+  void go_on() {
+    const time_point now = runtime_clock::now();
+    server_list& servers = environment().servers;
+    full_.clear();
     server_need need = make_need(engine_stage::prefill);
     need.near = decode_->server.failure_domain;
     need.excluded = prefills_tried_;
@@ -142,7 +249,7 @@
   // Nothing has run. Each further prefill is one more send to the service.
   void prefill_failed() {
     if (prefills_tried_.size() < max_prefills && take_budget()) {
-      plan();
+      go_on();
     } else {
       start_decode();
     }
@@ -169,6 +276,10 @@
     if (!export_.handle.empty()) {
       call.kv_source = fmt::format("{}/{}", prefill_.address, export_.handle);
     }
+    if (!hold_.empty() && at_hold_.id == server.id &&
+        runtime_clock::now() + hold_margin < hold_until_) {
+      call.hold = std::exchange(hold_, "");
+    }
     call.last_event = last_event_;
     note(fmt::format("decode({},in_flight={},load={},kv={})", server.id,
                      decode_->in_flight, decode_->reported,
@@ -331,6 +442,10 @@
     if (!export_usable()) {
       drop_export();
     }
+    drop_hold();
+    if (report_.not_run) {
+      environment().servers.refused(last_server_, runtime_clock::now());
+    }
     verdict next = after_attempt(report_, progress());
     if (next == verdict::retry) {
       if (!report_.sent || take_budget()) {
@@ -366,6 +481,19 @@
     }
   }
 
+  void drop_hold() {
+    if (hold_.empty()) {
+      return;
+    }
+    pooled_call pooled;
+    pooled.address = at_hold_.address;
+    pooled.connect_timeout = connect_timeout;
+    // It lapses by itself, so that a lost call is no matter.
+    environment().pool.run_detached(pooled,
+                                    environment().codec.drop_hold(hold_));
+    hold_.clear();
+  }
+
   void drop_export() {
     if (export_.handle.empty()) {
       return;
@@ -381,6 +509,8 @@
   }
 
   void conclude(verdict next) {
+    drop_hold();
+    drop_export();
     if (streaming_) {
       // The caller must see that the stream broke off.
       finish(status_bad_gateway, "stream_broke_off", false);
@@ -394,7 +524,9 @@
         break;
       }
       case verdict::refuse_not_run:
-        refuse_not_run(sends_ == 0 ? "no_server" : "servers_refused");
+        refuse_not_run(sends_ > 0           ? "servers_refused"
+                       : holds_refused_ > 0 ? "no_memory"
+                                            : "no_server");
         break;
       case verdict::retry:
       case verdict::fail_unknown:
@@ -417,6 +549,13 @@
   static constexpr std::size_t max_prefills = 2;
 
   runtime_timer watch_;
+  std::unique_ptr<http_call> hold_call_;
+  listed_server at_hold_;  // the engine that was asked for memory last
+  std::string hold_;       // id, "" without one
+  time_point hold_until_{};
+  std::set<std::string> full_;  // ids of engines without memory, this round
+  int holds_refused_ = 0;
+  int waits_ = 0;
   std::unique_ptr<http_call> call_;
   std::string at_server_;  // id, "" without a call
   std::int64_t prompt_tokens_ = 0;
