Engines move between prefill and decode by the ratio of demands; prompts overflow

Gateways report their demand to the leader, which orders prefill engines to decode under its term as fencing token. Gateways learn of a switch before it begins. Prompts that wait at prefill engines are read by decode engines.

--- a/src/control/document_cluster.cc
+++ b/src/control/document_cluster.cc
@@ -177,6 +177,10 @@
   return replica_ && replica_->status().role == "leader";
 }
 
+std::uint64_t document_cluster::term() const {
+  return replica_ ? replica_->status().term : 0;
+}
+
 std::uint64_t document_cluster::count_processes(time_point now) {
   for (auto each = polled_.begin(); each != polled_.end();) {
     const bool silent = now - each->second > poller_lifetime;
--- a/src/control/document_cluster.h
+++ b/src/control/document_cluster.h
@@ -37,6 +37,17 @@
   document_follower& follower() { return *follower_; }
   const document_follower& follower() const { return *follower_; }
   bool leads() const;
+  /// Term of the log, which only grows; at most one process leads in it.
+  std::uint64_t term() const;
+  /// Sends a message to every process that polled this one lately.
+  template <typename Message>
+  void tell_everyone(const Message& message) {
+    const frame out = make_frame(message);
+    for (const auto& [process, at] : polled_) {
+      // Who misses it goes by what it sees itself.
+      process_.peers.send(process, out).IgnoreError();
+    }
+  }
   /// Takes new first contacts.
   void set_seeds(const std::vector<std::string>& seeds);
 
--- a/src/control/document_follower.cc
+++ b/src/control/document_follower.cc
@@ -10,6 +10,8 @@
 
 // A fetch without an answer is sent again after this.
 constexpr duration fetch_timeout = milliseconds(600);
+// How long a larger count of processes is remembered.
+constexpr duration processes_lifetime = seconds(10);
 constexpr double poll_jitter = 0.1;  // share of the interval
 // Polls older than this many are not awaited any more.
 constexpr std::size_t max_polls_known = 64;
@@ -140,7 +142,11 @@
   }
   const time_point now = runtime_clock::now();
   learn_members(in);
-  processes_ = std::max<std::uint64_t>(1, in.processes);
+  const std::uint64_t heard = std::max<std::uint64_t>(1, in.processes);
+  if (heard >= processes_ || now - processes_at_ > processes_lifetime) {
+    processes_ = heard;
+    processes_at_ = now;
+  }
   if (!in.replica.empty()) {
     freshness_.answered({in.replica, in.newest_revision, voter_ids(in.members)},
                         sent->second, now);
--- a/src/control/document_follower.h
+++ b/src/control/document_follower.h
@@ -17,6 +17,9 @@
 
 namespace citronwharf {
 
+/// A process that has heard from nobody shares budgets with this many.
+constexpr std::uint64_t unknown_processes = 32;
+
 struct document_follower_options {
   std::string process;
   /// How long a majority's word that a document is the newest holds. Bounds
@@ -51,7 +54,8 @@
   const std::vector<control_member>& members() const { return members_; }
   /// Process name of the leader, or "".
   const std::string& leader() const { return leader_; }
-  /// Processes of the fleet, this one included, at least 1.
+  /// Processes of the fleet, this one included: the most that was heard of
+  /// within seconds, since a leader that just started has not met all yet.
   std::uint64_t processes() const { return processes_; }
 
   /// Calls `done` once a majority has confirmed, after this call, that the
@@ -87,7 +91,8 @@
   std::vector<control_member> members_;
   std::uint64_t term_ = 0;
   std::string leader_;
-  std::uint64_t processes_ = 1;
+  std::uint64_t processes_ = unknown_processes;
+  time_point processes_at_{};
   std::map<std::uint64_t, time_point> polls_;  // sent, by poll id
   std::uint64_t last_poll_ = 0;
   time_point fetched_at_{};
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -81,6 +81,22 @@
 
 enum class engine_stage { none, prefill, decode };
 
+/// What an engine tells of itself on request.
+struct engine_report {
+  std::uint64_t orders = 0;  ///< accepted since it started
+  bool busy = false;         ///< with an order
+  engine_stage stage = engine_stage::none;
+};
+
+/// An order to switch an engine's stage.
+struct engine_switch {
+  engine_stage stage = engine_stage::none;
+  std::string instance;  ///< any other server refuses
+  std::string holder;    ///< process that orders
+  std::uint64_t fencing_token = 0;
+  std::uint64_t orders = 0;  ///< refused when the engine accepted another since
+};
+
 /// A server as the directory lists it.
 struct listed_server {
   std::string id;
@@ -127,6 +143,10 @@
       take_hold;
   std::function<absl::StatusOr<std::string>(const std::string& body)> read_hold;
   std::function<http_request(const std::string& hold)> drop_hold;
+  std::function<http_request()> ask_report;
+  std::function<absl::StatusOr<engine_report>(const std::string& body)>
+      read_report;
+  std::function<http_request(const engine_switch&)> make_switch;
   std::function<http_request(const std::string& page_token)> list_servers;
   std::function<absl::StatusOr<directory_page>(const std::string& body)>
       read_servers;
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -14,6 +14,7 @@
 #include "gateway/codec.h"
 #include "gateway/retry_budget.h"
 #include "gateway/server_list.h"
+#include "gateway/stage_controller.h"
 #include "net/http_pool.h"
 #include "net/http_server.h"
 #include "observe/metrics.h"
@@ -28,6 +29,7 @@
   server_list& servers;
   retry_budget& budget;
   metric_registry& metrics;
+  engine_meter& meter;
   std::mt19937_64& random;
   std::string failure_domain;              ///< of this process
   std::function<std::size_t()> processes;  ///< of the fleet
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -62,6 +62,8 @@
         directory_(process.loop, codec_, pool_,
                    make_directory_options(process.options.gateway),
                    process.incarnation),
+        stages_(process, cluster_, codec_, pool_, servers_,
+                [this](const std::string& name) { return profile_of(name); }),
         table_(std::make_shared<const routing_table>(gateway_configuration{})),
         environment_{process.loop,
                      codec_,
@@ -69,6 +71,7 @@
                      servers_,
                      budget_,
                      process.metrics,
+                     stages_.meter(),
                      random_,
                      process.options.failure_domain,
                      [this] { return cluster_.follower().processes(); },
@@ -98,6 +101,7 @@
   void take(admitted_request request);
   std::string choose_service(const gateway_route& route);
   allowance limit_of(const std::string& organisation) const;
+  const engine_profile* profile_of(const std::string& service) const;
   duration document_age() const;
   void end_if_idle();
 
@@ -110,6 +114,7 @@
   document_cluster cluster_;
   allowance_client allowances_;
   directory_reader directory_;
+  stage_controller stages_;
   std::shared_ptr<const routing_table> table_;
   forward_environment environment_;
   std::unique_ptr<http_server> callers_;
@@ -187,8 +192,12 @@
       log_event(events::directory_read, servers_.size(), servers_.leaving(), 0);
     }
   });
-  return cluster_.start(
+  started = cluster_.start(
       [this](const published_document& in) { take_document(in); });
+  if (started.ok()) {
+    stages_.start();
+  }
+  return started;
 }
 
 // The document was checked before it was published; a process of an older
@@ -212,6 +221,12 @@
              : to_allowance(found->tokens_per_second, found->burst_tokens);
 }
 
+const engine_profile* gateway_role::profile_of(
+    const std::string& service) const {
+  const gateway_service* found = table_->find_service(service);
+  return found != nullptr && found->engine ? &*found->engine : nullptr;
+}
+
 // Since a majority last confirmed the document.
 duration gateway_role::document_age() const {
   const document_follower_options defaults;
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -45,4 +45,10 @@
   return true;
 }
 
+void retry_budget::charge(const std::string& service, time_point now) {
+  counts& of = services_[service];
+  forget_old(of, now);
+  of.extras.push_back(now);
+}
+
 }  // namespace citronwharf
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -29,6 +29,9 @@
   /// Takes one send beyond the first, if the budget has one. `processes` share
   /// the slack.
   bool take(const std::string& service, std::size_t processes, time_point now);
+  /// Counts a send beyond the first that was made without asking, as when a
+  /// server refuses what is no extra send otherwise.
+  void charge(const std::string& service, time_point now);
 
  private:
   struct counts {
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -101,7 +101,7 @@
   for (const auto& [id, state] : servers_) {
     const listed_server& listed = state.listed;
     if (listed.service != need.service || listed.leaving ||
-        need.excluded.count(id) != 0 ||
+        need.excluded.count(id) != 0 || now < state.switching_until ||
         (need.stage != engine_stage::none && listed.stage != need.stage)) {
       continue;
     }
@@ -181,6 +181,25 @@
   }
 }
 
+void server_list::switching(const std::string& id, duration span,
+                            time_point now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    found->second.switching_until = now + span;
+  }
+}
+
+std::vector<listed_server> server_list::of_service(
+    const std::string& service) const {
+  std::vector<listed_server> out;
+  for (const auto& [id, state] : servers_) {
+    if (state.listed.service == service) {
+      out.push_back(state.listed);
+    }
+  }
+  return out;
+}
+
 void server_list::reported(const std::string& id, const server_load& load,
                            time_point now) {
   const auto found = servers_.find(id);
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -83,6 +83,10 @@
                                 server_result result, time_point now);
   /// The server had no place for a request.
   void refused(const std::string& id, time_point now);
+  /// The engine switches its stage and takes nothing for a while.
+  void switching(const std::string& id, duration span, time_point now);
+  /// Returns the servers of a service.
+  std::vector<listed_server> of_service(const std::string& service) const;
   /// A response told the load.
   void reported(const std::string& id, const server_load& load, time_point now);
   /// The server said that it isn't the one that is listed, or that it leaves.
@@ -96,6 +100,7 @@
     std::optional<server_load> load;
     time_point load_at{};
     time_point full_until{};
+    time_point switching_until{};
     int failures = 0;  // in a row
     duration ejection{};
     time_point ejected_until{};
--- /dev/null
+++ b/src/gateway/stage_planner.cc
@@ -0,0 +1,140 @@
+#include "gateway/stage_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronwharf {
+namespace {
+
+// A gateway that has not reported for so long is gone.
+constexpr duration report_lifetime = seconds(3);
+
+}  // namespace
+
+stage_planner::stage_planner(stage_planner_options options)
+    : options_(options) {}
+
+void stage_planner::reset() {
+  demand_.clear();
+  orders_.clear();
+}
+
+void stage_planner::report(const std::string& process, const engine_demand& in,
+                           time_point now) {
+  demand_of& of = demand_[in.service];
+  if (of.latest.empty()) {
+    of.since = now;
+  }
+  of.latest[process] = {now, in.prefill_engines, in.decode_engines};
+}
+
+stage_planner::sample stage_planner::average(demand_of& of,
+                                             time_point now) const {
+  sample sum{now, 0, 0};
+  for (auto each = of.latest.begin(); each != of.latest.end();) {
+    if (now - each->second.at > report_lifetime) {
+      each = of.latest.erase(each);
+      continue;
+    }
+    sum.prefill += each->second.prefill;
+    sum.decode += each->second.decode;
+    ++each;
+  }
+  of.sums.push_back(sum);
+  while (now - of.sums.front().at > options_.demand_window) {
+    of.sums.pop_front();
+  }
+  sample out{now, 0, 0};
+  const auto count = static_cast<double>(of.sums.size());
+  for (const sample& each : of.sums) {
+    out.prefill += each.prefill / count;
+    out.decode += each.decode / count;
+  }
+  return out;
+}
+
+// Both stages are to have the same room for a growing load.
+std::size_t stage_planner::target(const sample& demand,
+                                  std::size_t engines) const {
+  const double share = demand.prefill / (demand.prefill + demand.decode);
+  const auto wanted =
+      static_cast<std::size_t>(std::ceil(share * static_cast<double>(engines)));
+  return std::clamp<std::size_t>(wanted, 1, engines - 1);
+}
+
+// What the engine does, or will do once its order is carried out.
+engine_stage stage_planner::stage_of(const listed_server& server,
+                                     time_point now) const {
+  const auto given = orders_.find(server.id);
+  const bool under_way = given != orders_.end() &&
+                         now - given->second.at < options_.order_lifetime;
+  return under_way ? given->second.stage : server.stage;
+}
+
+std::vector<stage_order> stage_planner::plan(
+    const std::string& service, const std::vector<listed_server>& engines,
+    time_point now) {
+  const auto found = demand_.find(service);
+  if (found == demand_.end()) {
+    return {};
+  }
+  const sample demand = average(found->second, now);
+  if (now - found->second.since < options_.settling || demand.prefill <= 0 ||
+      demand.decode <= 0) {
+    return {};
+  }
+  std::vector<const listed_server*> staged;
+  std::size_t prefilling = 0;
+  for (const listed_server& engine : engines) {
+    const engine_stage stage = stage_of(engine, now);
+    if (engine.service != service || engine.leaving ||
+        stage == engine_stage::none) {
+      continue;
+    }
+    staged.push_back(&engine);
+    prefilling += stage == engine_stage::prefill ? 1 : 0;
+  }
+  const double known =
+      options_.min_demand_share * static_cast<double>(staged.size());
+  if (staged.size() < 2 || demand.prefill + demand.decode < known) {
+    return {};
+  }
+  const std::size_t wanted = target(demand, staged.size());
+  const auto decoding = static_cast<double>(staged.size() - prefilling);
+  const bool decode_has_room =
+      demand.decode < options_.max_decode_use * decoding;
+  const bool starved = static_cast<double>(prefilling) < demand.prefill &&
+                       wanted > prefilling && decode_has_room;
+  std::size_t moves = 0;
+  engine_stage to = engine_stage::none;
+  if (prefilling > wanted) {
+    moves = prefilling - wanted;
+    to = engine_stage::decode;
+  } else if (starved) {
+    moves = 1;
+    to = engine_stage::prefill;
+  }
+  std::vector<stage_order> out;
+  for (const listed_server* engine : staged) {
+    const auto given = orders_.find(engine->id);
+    const bool stays =
+        given != orders_.end() && now - given->second.at < options_.min_stay;
+    if (moves == 0 || stays || stage_of(*engine, now) == to) {
+      continue;
+    }
+    --moves;
+    stage_order order;
+    order.server = engine->id;
+    order.address = engine->address;
+    order.stage = to;
+    order.engines = staged.size();
+    order.target = wanted;
+    order.prefill_engines = demand.prefill;
+    order.decode_engines = demand.decode;
+    orders_[engine->id] = {to, now};
+    out.push_back(order);
+  }
+  return out;
+}
+
+}  // namespace citronwharf
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -38,6 +38,9 @@
 constexpr duration hold_wait = milliseconds(50);
 // From the hold to the first event, with a short queue at the prefill engine.
 constexpr duration usual_first_event = milliseconds(300);
+// Prompts at a prefill engine from which on a decode engine reads another one
+// as fast, at half the speed of an engine that does nothing else.
+constexpr std::int64_t max_prefill_queue = 2;
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 
@@ -58,7 +61,11 @@
   stream_forward& operator=(const stream_forward&) = delete;
 
  private:
-  void begin() override { plan(); }
+  void begin() override {
+    environment().meter.asked(request().service->name, prompt_tokens_,
+                              runtime_clock::now());
+    plan();
+  }
 
   void stop() override {
     hold_call_.reset();
@@ -190,8 +197,15 @@
     need.near = decode_->server.failure_domain;
     need.excluded = prefills_tried_;
     const auto prefill = servers.choose(need, now);
-    if (decode_->server.stage == engine_stage::decode && prefill &&
-        !last_event_ && prefills_tried_.size() < max_prefills) {
+    // A further attempt reads the prompt at the decode engine: one send to the
+    // service instead of two.
+    const bool short_queue =
+        prefill &&
+        std::max(prefill->in_flight, prefill->reported) < max_prefill_queue &&
+        std::uniform_real_distribution<double>(0, 1)(environment().random) >=
+            environment().meter.overflow_share(now);
+    if (decode_->server.stage == engine_stage::decode && short_queue &&
+        sends_ == 0 && !last_event_ && prefills_tried_.size() < max_prefills) {
       start_prefill(*prefill);
     } else {
       start_decode();
@@ -202,6 +216,7 @@
     const listed_server& server = chosen.server;
     prefills_tried_.insert(server.id);
     prefill_ = server;
+    prefill_started_ = runtime_clock::now();
     note(fmt::format("prefill({},in_flight={})", server.id, chosen.in_flight));
     server_call call;
     call.stage = generation_stage::prefill;
@@ -212,8 +227,11 @@
     start_call(server, call, std::move(handlers));
     arm(watch_, prefill_timeout, [this] {
       note("prefill_silent");
-      end_call(server_result::timed_out);
-      prefill_failed();
+      environment().meter.gave_up(prefill_timeout, runtime_clock::now());
+      end_call(server_result::abandoned);
+      environment().budget.charge(request().service->name,
+                                  runtime_clock::now());
+      start_decode();
     });
   }
 
@@ -242,12 +260,16 @@
     }
     export_ = *std::move(exported);
     exported_at_ = runtime_clock::now();
+    environment().meter.took(export_.tokens, exported_at_ - prefill_started_,
+                             exported_at_);
     note(fmt::format("prefilled({} tokens)", export_.tokens));
     start_decode();
   }
 
-  // Nothing has run. Each further prefill is one more send to the service.
+  // Nothing has run. The first prefill that an engine accepts is no extra send,
+  // but those that fail are.
   void prefill_failed() {
+    environment().budget.charge(request().service->name, runtime_clock::now());
     if (prefills_tried_.size() < max_prefills && take_budget()) {
       go_on();
     } else {
@@ -295,6 +317,11 @@
     call.deadline = server_deadline();
     environment().servers.started(server.id, tokens_);
     at_server_ = server.id;
+    if (call.stage == generation_stage::whole && engine_tokens() > 0) {
+      decoding_ =
+          static_cast<double>(tokens_) / static_cast<double>(engine_tokens());
+      environment().meter.decodes(request().service->name, decoding_);
+    }
     pooled_call pooled;
     pooled.address = server.address;
     pooled.connect_timeout = connect_timeout;
@@ -422,6 +449,8 @@
     if (at_server_.empty()) {
       return;
     }
+    environment().meter.decodes(request().service->name,
+                                -std::exchange(decoding_, 0));
     const std::string server = std::exchange(at_server_, "");
     const auto ejected = environment().servers.ended(server, tokens_, result,
                                                      runtime_clock::now());
@@ -439,7 +468,10 @@
     if (report_.sent && !report_.not_run) {
       ++servers_run_;
     }
-    if (!export_usable()) {
+    if (report_.sent && !report_.not_run) {
+      // The engine that may have run the request may have fetched it, too.
+      export_ = {};
+    } else if (!export_usable()) {
       drop_export();
     }
     drop_hold();
@@ -558,10 +590,12 @@
   int waits_ = 0;
   std::unique_ptr<http_call> call_;
   std::string at_server_;  // id, "" without a call
+  double decoding_ = 0;    // engines' worth of memory, for the meter
   std::int64_t prompt_tokens_ = 0;
   std::int64_t tokens_ = 0;
   std::set<std::string> prefills_tried_;  // ids
   listed_server prefill_;
+  time_point prefill_started_{};
   exported_prefill export_;  // handle "" without one
   time_point exported_at_{};
   std::optional<chosen_server> decode_;
