Servers that can't be reached are left alone at once; allowances are given back

Cause: each gateway lost 250 ms and a request to a dark engine twice before it left it alone, then again after each ejection; a resumed stream gave up for want of memory after half a second, though its caller waits for two. A server is ejected on the first lost connection, tried by one request, and back with its first response. Requests that never ran give their tokens back.

--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -51,14 +51,26 @@
   return home_.ask(in, limits_(in.organisation), runtime_clock::now());
 }
 
+void allowance_client::give_back(const std::string& organisation,
+                                 double tokens) {
+  const fleet_tokens_refund out{organisation, tokens};
+  if (cluster_.leads()) {
+    home_.refund(out, runtime_clock::now());
+    return;
+  }
+  // Lost with the leader, which then starts to count anew.
+  peers_.send(cluster_.follower().leader(), make_frame(out)).IgnoreError();
+}
+
 void allowance_client::take(const std::string& organisation, double tokens,
-                            done answer) {
+                            duration max_wait, done answer) {
   const time_point now = runtime_clock::now();
   if (share_.take_surplus(organisation, tokens, now)) {
     answer({true, {}, "surplus"});
     return;
   }
-  const fleet_tokens_ask out{++last_ask_, organisation, tokens};
+  const fleet_tokens_ask out{++last_ask_, organisation, tokens,
+                             to_microseconds(max_wait)};
   pending_ask ask{organisation, tokens, now + ask_timeout, std::move(answer)};
   if (cluster_.leads()) {
     asks_[out.id] = std::move(ask);
--- a/src/gateway/allowance_client.h
+++ b/src/gateway/allowance_client.h
@@ -17,7 +17,9 @@
 /// The outcome of asking for tokens.
 struct allowance_answer {
   bool granted = false;
-  duration wait{};     ///< when refused: until the tokens accrue
+  /// When granted: until the request may go on. When refused: until it may
+  /// come back.
+  duration wait{};
   const char* source;  ///< who decided: surplus, leader or own_part
 };
 
@@ -34,8 +36,12 @@
   allowance_client(const allowance_client&) = delete;
   allowance_client& operator=(const allowance_client&) = delete;
 
-  /// Asks for tokens; `answer` is called once, perhaps before this returns.
-  void take(const std::string& organisation, double tokens, done answer);
+  /// Asks for tokens, for which the request may wait as long as `max_wait`;
+  /// `answer` is called once, perhaps before this returns.
+  void take(const std::string& organisation, double tokens, duration max_wait,
+            done answer);
+  /// Gives back the tokens of a request that never ran.
+  void give_back(const std::string& organisation, double tokens);
 
  private:
   struct pending_ask {
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -23,18 +23,77 @@
   return out;
 }
 
+reserving_bucket::reserving_bucket(allowance limit, double tokens,
+                                   time_point now)
+    : limit_(limit), tokens_(std::min(tokens, limit.burst_tokens)), at_(now) {}
+
+void reserving_bucket::accrue(time_point now) {
+  if (now <= at_) {
+    return;
+  }
+  const double gained = limit_.tokens_per_second *
+                        std::chrono::duration<double>(now - at_).count();
+  tokens_ = std::min(limit_.burst_tokens, tokens_ + gained);
+  at_ = now;
+}
+
+void reserving_bucket::set_limit(allowance limit, time_point now) {
+  accrue(now);
+  limit_ = limit;
+  tokens_ = std::min(tokens_, limit.burst_tokens);
+}
+
+duration reserving_bucket::span_for(double tokens) const {
+  if (tokens <= 0) {
+    return {};
+  }
+  if (limit_.tokens_per_second <= 0) {
+    return max_wait;
+  }
+  return std::min(
+      max_wait,
+      std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(tokens / limit_.tokens_per_second)));
+}
+
+std::optional<duration> reserving_bucket::take(double tokens, duration longest,
+                                               time_point now) {
+  accrue(now);
+  const duration wait = span_for(tokens - tokens_);
+  if (wait > longest) {
+    return std::nullopt;
+  }
+  tokens_ -= tokens;
+  return wait;
+}
+
+void reserving_bucket::put_back(double tokens, time_point now) {
+  accrue(now);
+  tokens_ = std::min(limit_.burst_tokens, tokens_ + std::max(tokens, 0.0));
+}
+
+duration reserving_bucket::wait_for(double tokens, time_point now) {
+  accrue(now);
+  return span_for(tokens - tokens_);
+}
+
+double reserving_bucket::available(time_point now) {
+  accrue(now);
+  return tokens_;
+}
+
 fleet_tokens_reply fleet_allowance_home::ask(const fleet_tokens_ask& in,
                                              const allowance& limit,
                                              time_point now) {
-  const double burst = static_cast<double>(limit.burst_tokens);
+  const double burst = limit.burst_tokens;
   auto found = buckets_.find(in.organisation);
   if (found == buckets_.end()) {
     found = buckets_
                 .emplace(in.organisation,
-                         token_bucket(limit, burst * initial_share, now))
+                         reserving_bucket(limit, burst * initial_share, now))
                 .first;
   }
-  token_bucket& bucket = found->second;
+  reserving_bucket& bucket = found->second;
   if (!(bucket.limit() == limit)) {
     bucket.set_limit(limit, now);
   }
@@ -42,19 +101,29 @@
   fleet_tokens_reply out;
   out.id = in.id;
   out.leads = true;
-  out.granted = bucket.take(tokens, now);
+  const auto wait = bucket.take(tokens, from_microseconds(in.max_wait_us), now);
+  out.granted = wait.has_value();
   if (!out.granted) {
-    out.wait_us =
-        to_microseconds(std::min(max_wait, bucket.wait_for(tokens, now)));
+    out.wait_us = to_microseconds(bucket.wait_for(tokens, now));
     return out;
   }
+  out.wait_us = to_microseconds(*wait);
   const double surplus = burst * surplus_share;
-  if (bucket.available(now) > burst / 2 && bucket.take(surplus, now)) {
+  if (bucket.available(now) > burst / 2) {
+    bucket.take(surplus, {}, now);
     out.surplus_tokens = surplus;
   }
   return out;
 }
 
+void fleet_allowance_home::refund(const fleet_tokens_refund& in,
+                                  time_point now) {
+  const auto found = buckets_.find(in.organisation);
+  if (found != buckets_.end()) {
+    found->second.put_back(in.tokens, now);
+  }
+}
+
 bool fleet_allowance_share::take_surplus(const std::string& organisation,
                                          double tokens, time_point now) {
   const auto found = surplus_.find(organisation);
@@ -83,21 +152,19 @@
                                               time_point now) {
   const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
   const allowance part =
-      to_allowance(static_cast<double>(limit.tokens_per_second) / parts,
-                   static_cast<double>(limit.burst_tokens) / parts);
+      to_allowance(limit.tokens_per_second / parts, limit.burst_tokens / parts);
   auto found = own_part_.find(organisation);
   if (found == own_part_.end()) {
-    found = own_part_
-                .emplace(organisation,
-                         token_bucket(
-                             part, static_cast<double>(part.burst_tokens), now))
-                .first;
+    found =
+        own_part_
+            .emplace(organisation, token_bucket(part, part.burst_tokens, now))
+            .first;
   }
   token_bucket& bucket = found->second;
   if (!(bucket.limit() == part)) {
     bucket.set_limit(part, now);
   }
-  const double taken = std::min(tokens, static_cast<double>(part.burst_tokens));
+  const double taken = std::min(tokens, part.burst_tokens);
   return bucket.take(taken, now)
              ? duration{}
              : std::min(max_wait, bucket.wait_for(taken, now));
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -4,6 +4,7 @@
 #define CITRONWHARF_GATEWAY_FLEET_ALLOWANCE_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -15,6 +16,35 @@
 /// Rate and burst as token_bucket takes them.
 allowance to_allowance(double tokens_per_second, double burst_tokens);
 
+/// Rate and burst with reservations: tokens may be taken before they accrue, by
+/// a request that waits until then. In any span t, requests that have waited
+/// get rate * t + burst at most. No clock of its own. One thread.
+class reserving_bucket {
+ public:
+  /// Starts with `tokens`.
+  reserving_bucket(allowance limit, double tokens, time_point now);
+
+  /// Takes a new limit; what has accrued is kept, cut to the new burst.
+  void set_limit(allowance limit, time_point now);
+  /// Takes tokens and returns the wait until they have accrued; nothing, and
+  /// takes none, when that is over `max_wait`.
+  std::optional<duration> take(double tokens, duration max_wait,
+                               time_point now);
+  void put_back(double tokens, time_point now);
+  /// Returns the span until so many tokens have accrued.
+  duration wait_for(double tokens, time_point now);
+  double available(time_point now);
+  const allowance& limit() const { return limit_; }
+
+ private:
+  void accrue(time_point now);
+  duration span_for(double tokens) const;
+
+  allowance limit_;
+  double tokens_;  // below 0: reserved
+  time_point at_;
+};
+
 /// The leader's count. No I/O, no clock of its own. One thread.
 class fleet_allowance_home {
  public:
@@ -22,13 +52,15 @@
   /// of the burst: the one that led before may have just given the rest.
   void start_leading() { buckets_.clear(); }
 
-  /// Gives the tokens, or says when they will have accrued. While over half of
-  /// the burst is there, a gateway gets a surplus for requests to come.
+  /// Gives the tokens, at once or after a wait that the request allows, or
+  /// says when to come back. While over half of the burst is there, a gateway
+  /// gets a surplus for requests to come.
   fleet_tokens_reply ask(const fleet_tokens_ask& in, const allowance& limit,
                          time_point now);
+  void refund(const fleet_tokens_refund& in, time_point now);
 
  private:
-  std::map<std::string, token_bucket> buckets_;  // by organisation
+  std::map<std::string, reserving_bucket> buckets_;  // by organisation
 };
 
 /// One gateway's view. No I/O, no clock of its own. One thread.
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -149,6 +149,9 @@
   if (finished_) {
     return;
   }
+  if (request_.allowance_tokens > 0) {
+    environment_.give_back(request_.organisation, request_.allowance_tokens);
+  }
   const duration wait = suggest_retry_after(milliseconds(route().objective_ms),
                                             time_left(), environment_.random);
   request_.exchange->respond(
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -34,6 +34,8 @@
   std::string failure_domain;              ///< of this process
   std::function<std::size_t()> processes;  ///< of the fleet
   std::function<duration()> document_age;  ///< since it was last confirmed
+  /// Gives back the allowance of a request that never ran.
+  std::function<void(const std::string& organisation, double tokens)> give_back;
 };
 
 /// A request that passed the filters.
@@ -44,6 +46,7 @@
   const gateway_route* route = nullptr;      ///< in the table
   const gateway_service* service = nullptr;  ///< in the table
   std::string organisation;
+  double allowance_tokens = 0;  ///< that were granted
   time_point received;
   time_point deadline;  ///< of the caller and the route, the earlier one
   std::string trail;    ///< decisions so far
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -23,6 +23,8 @@
 constexpr int status_not_found = 404;
 // Operators' documents with some hundreds of routes.
 constexpr std::size_t max_operator_body_bytes = 16U << 20U;
+// Share of the latency objective that a request may wait for its allowance.
+constexpr double max_allowance_wait_share = 0.25;
 // Until a configuration says otherwise.
 constexpr duration retry_without_configuration = milliseconds(300);
 
@@ -75,7 +77,10 @@
                      random_,
                      process.options.failure_domain,
                      [this] { return cluster_.follower().processes(); },
-                     [this] { return document_age(); }},
+                     [this] { return document_age(); },
+                     [this](const std::string& organisation, double tokens) {
+                       allowances_.give_back(organisation, tokens);
+                     }},
         drain_timer_(process.loop) {}
 
   absl::Status start() override;
@@ -98,6 +103,9 @@
   void handle(http_request message, std::unique_ptr<http_exchange> exchange);
   void filter(admitted_request request);
   void allow(admitted_request request, const gateway_organisation& of);
+  void on_allowance(const std::shared_ptr<admitted_request>& held,
+                    double tokens, const allowance_answer& answer);
+  void filter_again(const std::shared_ptr<admitted_request>& held);
   void take(admitted_request request);
   std::string choose_service(const gateway_route& route);
   allowance limit_of(const std::string& organisation) const;
@@ -282,21 +290,62 @@
   // Shared, since std::function asks for closures that can be copied.
   auto held = std::make_shared<admitted_request>(std::move(request));
   ++asking_;
-  const std::string& organisation = held->organisation;
-  allowances_.take(
-      organisation, tokens, [this, held](const allowance_answer& answer) {
-        --asking_;
-        held->trail =
-            fmt::format("allowance({},{})",
-                        answer.granted ? "granted" : "refused", answer.source);
-        if (answer.granted) {
-          take(std::move(*held));
-        } else {
-          answer_refused(environment_, *held, status_too_many, "over_allowance",
-                         answer.wait);
-        }
-        end_if_idle();
-      });
+  // A generation that reserved tokens ahead would shut out an organisation's
+  // small requests, of which dozens fit into its tokens.
+  const auto max_wait = held->route->stream
+                            ? duration{}
+                            : std::chrono::duration_cast<duration>(
+                                  milliseconds(held->route->objective_ms) *
+                                  max_allowance_wait_share);
+  allowances_.take(held->organisation, tokens, max_wait,
+                   [this, held, tokens](const allowance_answer& answer) {
+                     on_allowance(held, tokens, answer);
+                   });
+}
+
+void gateway_role::on_allowance(const std::shared_ptr<admitted_request>& held,
+                                double tokens, const allowance_answer& answer) {
+  held->trail = fmt::format(
+      "allowance({},{},tokens={},wait_ms={})",
+      answer.granted ? "granted" : "refused", answer.source, tokens,
+      std::chrono::duration_cast<milliseconds>(answer.wait).count());
+  if (!answer.granted) {
+    --asking_;
+    answer_refused(environment_, *held, status_too_many, "over_allowance",
+                   answer.wait);
+    end_if_idle();
+    return;
+  }
+  held->allowance_tokens = tokens;
+  if (answer.wait == duration{}) {
+    --asking_;
+    take(std::move(*held));
+    return;
+  }
+  auto timer = std::make_shared<runtime_timer>(process_.loop);
+  timer->expires_after(answer.wait);
+  timer->async_wait([this, held, timer](boost::system::error_code /*error*/) {
+    --asking_;
+    filter_again(held);
+  });
+}
+
+// The configuration may have changed while the request waited; what was
+// granted stays granted.
+void gateway_role::filter_again(const std::shared_ptr<admitted_request>& held) {
+  held->table = table_;
+  const filter_result found =
+      pass_filters(*held->table, held->caller,
+                   cluster_.follower().fresh(runtime_clock::now()));
+  held->route = found.route;
+  if (found.refusal) {
+    answer_refused(environment_, *held, found.refusal->status,
+                   found.refusal->reason, retry_without_configuration);
+    end_if_idle();
+    return;
+  }
+  held->service = held->table->find_service(choose_service(*found.route));
+  take(std::move(*held));
 }
 
 void gateway_role::take(admitted_request request) {
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // A lost SYN is sent again after a second; another server is nearer than that.
-constexpr duration connect_timeout = milliseconds(250);
+constexpr duration connect_timeout = milliseconds(150);
 // A kept connection may have been closed by the server without our knowing. A
 // request that can't be repeated takes only one that was used just now.
 constexpr duration max_idle_at_most_once = milliseconds(1500);
@@ -62,7 +62,7 @@
     response_ = {};
     note(fmt::format("send({},{},in_flight={},load={})", server.id,
                      server.address, chosen.in_flight, chosen.reported));
-    environment().servers.started(server.id, 0);
+    environment().servers.started(server.id, 0, runtime_clock::now());
     at_server_ = true;
     server_call call;
     call.organisation = request().organisation;
@@ -99,7 +99,7 @@
       note(fmt::format("lost({},sent={})",
                        std::string(failure.status.message()), failure.sent));
       report_.sent = failure.sent;
-      settle(server_result::failed);
+      settle(failure.sent ? server_result::failed : server_result::unreachable);
     };
     return out;
   }
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -124,11 +124,17 @@
   return out;
 }
 
-void server_list::started(const std::string& id, std::int64_t tokens) {
+void server_list::started(const std::string& id, std::int64_t tokens,
+                          time_point now) {
   const auto found = servers_.find(id);
-  if (found != servers_.end()) {
-    ++found->second.in_flight;
-    found->second.tokens += tokens;
+  if (found == servers_.end()) {
+    return;
+  }
+  server_state& state = found->second;
+  ++state.in_flight;
+  state.tokens += tokens;
+  if (state.failures >= options_.failures_to_eject) {
+    state.ejected_until = std::max(state.ejected_until, now + options_.trial);
   }
 }
 
@@ -153,14 +159,13 @@
   state.tokens = std::max<std::int64_t>(0, state.tokens - tokens);
   switch (result) {
     case server_result::served:
-      state.failures = 0;
-      state.ejection = duration{};
-      state.ejected_until = time_point{};
-      return std::nullopt;
     case server_result::refused:
+      restore(state);
+      return std::nullopt;
     case server_result::abandoned:
       return std::nullopt;
     case server_result::timed_out:
+    case server_result::unreachable:
       state.failures = options_.failures_to_eject;
       break;
     case server_result::failed:
@@ -174,6 +179,19 @@
   return std::nullopt;
 }
 
+void server_list::restore(server_state& state) {
+  state.failures = 0;
+  state.ejection = duration{};
+  state.ejected_until = time_point{};
+}
+
+void server_list::answers(const std::string& id) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    restore(found->second);
+  }
+}
+
 void server_list::refused(const std::string& id, time_point now) {
   const auto found = servers_.find(id);
   if (found != servers_.end()) {
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -23,11 +23,14 @@
   duration load_lifetime = milliseconds(500);
   /// How long a server that failed gets no requests; doubles with each further
   /// failure.
-  duration initial_ejection = milliseconds(500);
+  duration initial_ejection = milliseconds(600);
   duration max_ejection = seconds(4);
   /// A server that had no memory or place is taken for full for so long; about
   /// the time in which one of its requests ends.
   duration full_lifetime = milliseconds(50);
+  /// After an ejection one request tries the server; others wait this long for
+  /// its result.
+  duration trial = milliseconds(500);
   /// Failures in a row after which a server is ejected. One failure may be the
   /// request's own.
   int failures_to_eject = 2;
@@ -53,11 +56,12 @@
 
 /// How a request at a server ended.
 enum class server_result {
-  served,     ///< any whole response that is no failure of the server
-  refused,    ///< stated that it ran nothing
-  failed,     ///< reset, broke off, a 5xx
-  timed_out,  ///< silent for too long
-  abandoned   ///< the gateway or the caller lost interest
+  served,       ///< any whole response that is no failure of the server
+  refused,      ///< stated that it ran nothing
+  failed,       ///< reset or broke off
+  unreachable,  ///< no connection
+  timed_out,    ///< silent for too long
+  abandoned     ///< the gateway or the caller lost interest
 };
 
 /// No I/O, no clock of its own. One thread.
@@ -77,10 +81,12 @@
   std::optional<chosen_server> choose(const server_need& need, time_point now);
 
   /// A request of so many tokens is sent to the server.
-  void started(const std::string& id, std::int64_t tokens);
+  void started(const std::string& id, std::int64_t tokens, time_point now);
   /// It ended. Returns the span of an ejection that this starts.
   std::optional<duration> ended(const std::string& id, std::int64_t tokens,
                                 server_result result, time_point now);
+  /// The server answers: what it failed before no longer counts.
+  void answers(const std::string& id);
   /// The server had no place for a request.
   void refused(const std::string& id, time_point now);
   /// The engine switches its stage and takes nothing for a while.
@@ -111,6 +117,7 @@
   static bool is_full(const server_state& state, const server_need& need,
                       time_point now);
   duration eject(server_state& state, time_point now) const;
+  static void restore(server_state& state);
 
   server_list_options options_;
   std::mt19937_64 random_;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -13,7 +13,8 @@
 namespace citronwharf {
 namespace {
 
-constexpr duration connect_timeout = milliseconds(250);
+// A lost SYN is sent again after a second; another engine is nearer than that.
+constexpr duration connect_timeout = milliseconds(150);
 constexpr duration max_idle_at_most_once = milliseconds(1500);
 // A prefill that takes longer than this is asked of another engine: the first
 // event would come too late for the usual objectives.
@@ -24,6 +25,10 @@
 // after two seconds at the earliest.
 constexpr duration first_event_timeout = milliseconds(1200);
 constexpr duration gap_timeout = milliseconds(900);
+// Callers whose stream has begun wait for two seconds at least for it to go on:
+// for memory, and for an engine to read the prompt and what was generated.
+constexpr duration max_resume_wait = milliseconds(900);
+constexpr duration resume_timeout = milliseconds(2000);
 // Memory that is made sure of for the output, as a share of its limit: what an
 // answer holds over its life on average. Most answers end long before their
 // limit, and memory kept for all of it would keep others waiting.
@@ -62,6 +67,7 @@
 
  private:
   void begin() override {
+    waiting_since_ = request().received;
     environment().meter.asked(request().service->name, prompt_tokens_,
                               runtime_clock::now());
     plan();
@@ -154,6 +160,7 @@
       return;
     }
     hold_ = *std::move(hold);
+    environment().servers.answers(id);
     note(fmt::format("hold({},tokens={},refused={},waits={})", id, tokens_,
                      holds_refused_, waits_));
     go_on();
@@ -171,9 +178,10 @@
       return;
     }
     full_.clear();
-    const duration waited = runtime_clock::now() - request().received;
+    const duration waited = runtime_clock::now() - waiting_since_;
     const duration spare =
-        milliseconds(route().objective_ms) - usual_first_event;
+        streaming_ ? max_resume_wait
+                   : milliseconds(route().objective_ms) - usual_first_event;
     if (waited + hold_wait > spare) {
       note(fmt::format("no_memory(refused={},waits={})", holds_refused_,
                        waits_));
@@ -221,8 +229,8 @@
     server_call call;
     call.stage = generation_stage::prefill;
     http_call_handlers handlers = collect_response(
-        [this](absl::StatusOr<http_response> response, bool /*sent*/) {
-          on_prefill(std::move(response));
+        [this](absl::StatusOr<http_response> response, bool sent) {
+          on_prefill(std::move(response), sent);
         });
     start_call(server, call, std::move(handlers));
     arm(watch_, prefill_timeout, [this] {
@@ -235,12 +243,12 @@
     });
   }
 
-  void on_prefill(absl::StatusOr<http_response> response) {
+  void on_prefill(absl::StatusOr<http_response> response, bool sent) {
     disarm();
     if (!response.ok()) {
       note(fmt::format("prefill_lost({})",
                        std::string(response.status().message())));
-      end_call(server_result::failed);
+      end_call(sent ? server_result::failed : server_result::unreachable);
       prefill_failed();
       return;
     }
@@ -307,7 +315,7 @@
                      decode_->in_flight, decode_->reported,
                      export_.handle.empty() ? "own" : prefill_.id));
     start_call(server, call, decode_handlers());
-    watch(first_event_timeout);
+    watch(streaming_ ? resume_timeout : first_event_timeout);
   }
 
   void start_call(const listed_server& server, server_call call,
@@ -315,7 +323,7 @@
     call.organisation = request().organisation;
     call.instance = server.id;
     call.deadline = server_deadline();
-    environment().servers.started(server.id, tokens_);
+    environment().servers.started(server.id, tokens_, runtime_clock::now());
     at_server_ = server.id;
     if (call.stage == generation_stage::whole && engine_tokens() > 0) {
       decoding_ =
@@ -347,7 +355,7 @@
       note(fmt::format("lost({},sent={})",
                        std::string(failure.status.message()), failure.sent));
       report_.sent = report_.sent || failure.sent;
-      settle(server_result::failed);
+      settle(failure.sent ? server_result::failed : server_result::unreachable);
     };
     return out;
   }
@@ -378,6 +386,7 @@
                                      runtime_clock::now());
     }
     if (answer.status == status_ok) {
+      environment().servers.answers(last_server_);
       response_begun_ = true;
       // Whatever the engine fetched, it has now.
       export_ = {};
@@ -481,6 +490,7 @@
     verdict next = after_attempt(report_, progress());
     if (next == verdict::retry) {
       if (!report_.sent || take_budget()) {
+        waiting_since_ = runtime_clock::now();
         retry();
         return;
       }
@@ -585,6 +595,7 @@
   listed_server at_hold_;  // the engine that was asked for memory last
   std::string hold_;       // id, "" without one
   time_point hold_until_{};
+  time_point waiting_since_{};  // for memory
   std::set<std::string> full_;  // ids of engines without memory, this round
   int holds_refused_ = 0;
   int waits_ = 0;
--- a/src/wire/document_messages.h
+++ b/src/wire/document_messages.h
@@ -85,8 +85,17 @@
   std::uint64_t id = 0;
   std::string organisation;
   double tokens = 0;
+  std::int64_t max_wait_us = 0;  ///< that the request may wait for them
 };
-CITRONWHARF_VALUE(fleet_tokens_ask, id, organisation, tokens)
+CITRONWHARF_VALUE(fleet_tokens_ask, id, organisation, tokens, max_wait_us)
+
+/// A gateway gives back what a request was granted that never ran.
+struct fleet_tokens_refund {
+  static constexpr const char* type_name = "fleet_tokens_refund";
+  std::string organisation;
+  double tokens = 0;
+};
+CITRONWHARF_VALUE(fleet_tokens_refund, organisation, tokens)
 
 struct fleet_tokens_reply {
   static constexpr const char* type_name = "fleet_tokens_reply";
