--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -43,6 +43,8 @@
           {"items", {{"enum", {"entry", "endpoint", "control", "gateway"}}}}};
     case field_type::integer:
       return {{"type", "integer"}, {"minimum", 1}};
+    case field_type::count:
+      return {{"type", "integer"}, {"minimum", 0}};
     case field_type::share:
       return {{"type", "number"}, {"minimum", 0}, {"maximum", 1}};
     case field_type::number:
--- a/src/base/settings_fields.cc
+++ b/src/base/settings_fields.cc
@@ -35,7 +35,7 @@
        "Peer addresses of control replicas, for the first contact."},
       {"/control/snapshot_entries", type::integer, false, "entries",
        "Log entries after which a replica takes a snapshot."},
-      {"/control/keep_entries", type::integer, false, "entries",
+      {"/control/keep_entries", type::count, false, "entries",
        "Log entries kept before a snapshot, for replicas that lag a little."},
       {"/engine/address", type::text, false, "ip:port",
        "The back end beside this endpoint process."},
@@ -57,7 +57,7 @@
       {"/gateway/first_start", type::flag, false, "",
        "Whether the whole system starts for the first time, with empty "
        "disks."},
-      {"/gateway/tolerated_losses", type::integer, false, "processes",
+      {"/gateway/tolerated_losses", type::count, false, "processes",
        "Losses at once that the group of replicas survives; it has twice as "
        "many members and one."},
       {"/gateway/retry_ratio", type::number, false, "",
--- a/src/base/settings_fields.h
+++ b/src/base/settings_fields.h
@@ -14,6 +14,7 @@
   addresses,
   roles,
   integer,
+  count,
   share,
   number,
   flag
--- a/src/control/group_keeper.cc
+++ b/src/control/group_keeper.cc
@@ -124,7 +124,8 @@
         return member.process != options_.process && gone(member.process, now);
       });
   for (auto each = candidates_.begin(); each != candidates_.end();) {
-    const auto& [process, wanted] = *each;
+    const std::string& process = each->first;
+    const candidate& wanted = each->second;
     if (now - wanted.asked > options_.candidate_lifetime ||
         is_member(state.members, wanted.replica)) {
       each = candidates_.erase(each);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -64,7 +64,11 @@
     message_.target(request.target);
     message_.set(http::field::host, options_.address);
     for (const header_field& field : request.headers) {
-      message_.insert(field.name, field.value);
+      if (beast::iequals(field.name, "Host")) {
+        message_.set(http::field::host, field.value);
+      } else {
+        message_.insert(field.name, field.value);
+      }
     }
     message_.body() = request.body;
     message_.keep_alive(false);
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -152,7 +152,7 @@
                                           duration max_idle) {
     auto& idle = idle_[address];
     while (!idle.empty()) {
-      const auto last = idle.back();
+      auto last = idle.back();
       idle.pop_back();
       if (last->reusable(runtime_clock::now(), max_idle)) {
         return last;
--- a/src/observe/event.cc
+++ b/src/observe/event.cc
@@ -128,7 +128,7 @@
   for (std::size_t at = 0; at < values.size() && at < names.size(); ++at) {
     line[names[at]] = std::move(values[at]);
   }
-  log_output::instance().write(std::move(line), type.level != severity::info);
+  log_output::instance().write(line, type.level != severity::info);
 }
 
 }  // namespace detail
--- /dev/null
+++ b/test/gateway-decisions-test.cc
@@ -0,0 +1,406 @@
+// Decisions of the gateway that need no network: routes and keys, what may be
+// repeated, retry budget, allowances, choice of servers, stages.
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "control/key.h"
+#include "gateway/admission_filter.h"
+#include "gateway/attempt_policy.h"
+#include "gateway/event_splitter.h"
+#include "gateway/fleet_allowance.h"
+#include "gateway/forward.h"
+#include "gateway/retry_budget.h"
+#include "gateway/server_list.h"
+#include "gateway/stage_planner.h"
+
+namespace citronwharf {
+namespace {
+
+const time_point start{seconds(1000)};
+
+gateway_configuration sample_configuration() {
+  gateway_configuration out;
+  out.version = 7;
+  out.services = {{"models", "/health", 100, engine_profile{}},
+                  {"desk", "/health", 100, std::nullopt}};
+  gateway_route wide;
+  wide.name = "wide";
+  wide.host = "shop.example";
+  wide.path_prefix = "/a/";
+  wide.timeout_ms = 1000;
+  wide.services = {{"desk", 1}};
+  gateway_route narrow = wide;
+  narrow.name = "narrow";
+  narrow.path_prefix = "/a/b/";
+  narrow.services = {{"models", 1}};
+  gateway_route open = wide;
+  open.name = "open";
+  open.path_prefix = "/open/";
+  open.open = true;
+  out.routes = {wide, narrow, open};
+  out.organisations = {{"importers", {digest_of("secret")}, 0, 100, 200, 20}};
+  return out;
+}
+
+caller_request request_to(const std::string& path, const std::string& key) {
+  caller_request out;
+  out.host = "Shop.Example";
+  out.path = path;
+  out.key = key;
+  return out;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(faults_of_a_configuration_are_named) {
+  struct row {
+    const char* fault;
+    std::function<void(gateway_configuration&)> damage;
+  };
+  const row rows[] = {
+      {"does not exist",
+       [](auto& in) {
+         in.routes[0].services = {{"nobody", 1}};
+       }},
+      {"another route",
+       [](auto& in) { in.routes[1].path_prefix = in.routes[0].path_prefix; }},
+      {"add up to 0",
+       [](auto& in) {
+         in.routes[0].services = {{"desk", 0}};
+       }},
+      {"is negative",
+       [](auto& in) {
+         in.routes[0].services = {{"desk", -1}, {"models", 2}};
+       }},
+      {"timeout", [](auto& in) { in.routes[0].timeout_ms = 0; }},
+      {"share a key",
+       [](auto& in) {
+         in.organisations.push_back(in.organisations[0]);
+         in.organisations[1].name = "brokers";
+       }},
+  };
+  BOOST_TEST(find_fault(sample_configuration()) == "");
+  for (const row& each : rows) {
+    gateway_configuration damaged = sample_configuration();
+    each.damage(damaged);
+    const std::string fault = find_fault(damaged);
+    BOOST_TEST_CONTEXT(each.fault) {
+      BOOST_TEST(fault.find(each.fault) != std::string::npos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins) {
+  const routing_table table(sample_configuration());
+  BOOST_TEST(table.find_route("shop.example", "/a/b/c")->name == "narrow");
+  BOOST_TEST(table.find_route("shop.example", "/a/x")->name == "wide");
+  BOOST_TEST(table.find_route("shop.example", "/a") == nullptr);
+  BOOST_TEST(table.find_route("other.example", "/a/x") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(filters_refuse_for_good_only_what_is_surely_known) {
+  const routing_table table(sample_configuration());
+  struct row {
+    const char* path;
+    const char* key;
+    bool fresh;
+    int status;  // 0: passes
+  };
+  const row rows[] = {
+      {"/a/x", "secret", true, 0},      {"/a/x", "wrong", true, 401},
+      {"/a/x", "", true, 401},          {"/none/", "secret", true, 404},
+      {"/open/x", "", true, 0},         {"/open/x", "", false, 0},
+      {"/a/x", "secret", false, 503},   {"/a/x", "wrong", false, 503},
+      {"/none/", "secret", false, 503},
+  };
+  for (const row& each : rows) {
+    const filter_result got =
+        pass_filters(table, request_to(each.path, each.key), each.fresh);
+    BOOST_TEST_CONTEXT(each.path << " " << each.key << " " << each.fresh) {
+      BOOST_TEST((got.refusal ? got.refusal->status : 0) == each.status);
+    }
+  }
+  const routing_table none{gateway_configuration{}};
+  BOOST_TEST(pass_filters(none, request_to("/a/x", ""), true).refusal->status ==
+             503);
+}
+
+BOOST_AUTO_TEST_CASE(
+    tokens_of_a_request_are_prompt_and_output_or_a_flat_count) {
+  const gateway_organisation of = sample_configuration().organisations[0];
+  caller_request plain;
+  BOOST_TEST(allowance_tokens(of, plain) == 20);
+  plain.prompt_tokens = 1460;
+  plain.max_output_tokens = 80;
+  BOOST_TEST(allowance_tokens(of, plain) == 1540);
+}
+
+BOOST_AUTO_TEST_CASE(
+    only_what_surely_ran_nothing_or_may_run_again_is_repeated) {
+  const attempt_report unsent{};
+  const attempt_report lost{true, false, false, 0};
+  const attempt_report refused{true, true, true, 503};
+  const attempt_report error{true, true, false, 500};
+  const attempt_report good{true, true, false, 200};
+  struct row {
+    repeatability repeat;
+    attempt_report report;
+    std::int64_t servers_run;
+    std::int64_t sends;
+    verdict want;
+  };
+  using kind = repeatability;
+  const row rows[] = {
+      {kind::at_most_once, unsent, 0, 1, verdict::retry},
+      {kind::at_most_once, refused, 0, 1, verdict::retry},
+      {kind::at_most_once, refused, 0, max_sends, verdict::refuse_not_run},
+      {kind::at_most_once, unsent, 0, max_sends, verdict::refuse_not_run},
+      {kind::at_most_once, lost, 1, 1, verdict::fail_unknown},
+      {kind::at_most_once, error, 1, 1, verdict::deliver},
+      {kind::at_most_once, good, 1, 1, verdict::deliver},
+      {kind::idempotent, lost, 1, 1, verdict::retry},
+      {kind::idempotent, lost, 2, 2, verdict::fail_unknown},
+      {kind::idempotent, error, 1, 1, verdict::retry},
+      {kind::idempotent, error, 2, 2, verdict::deliver},
+      // Something may have run before the refusal: it is no longer a promise.
+      {kind::idempotent, refused, 1, max_sends, verdict::fail_unknown},
+      {kind::resumable_stream, lost, 1, 1, verdict::retry},
+  };
+  for (const row& each : rows) {
+    request_progress progress;
+    progress.repeat = each.repeat;
+    progress.max_servers = 2;
+    progress.servers_run = each.servers_run;
+    progress.sends = each.sends;
+    progress.time_left = seconds(1);
+    BOOST_TEST((after_attempt(each.report, progress) == each.want));
+  }
+  request_progress late;
+  late.repeat = kind::idempotent;
+  late.max_servers = 2;
+  late.servers_run = 1;
+  late.time_left = milliseconds(10);
+  BOOST_TEST((after_attempt(lost, late) == verdict::fail_unknown));
+}
+
+BOOST_AUTO_TEST_CASE(retries_of_all_processes_stay_within_the_budget) {
+  retry_budget_options options;
+  options.ratio = 0.2;
+  options.slack = 62;
+  const std::size_t processes = 8;
+  std::vector<retry_budget> fleet(processes, retry_budget(options));
+  const int requests = 50;
+  std::size_t extras = 0;
+  for (retry_budget& each : fleet) {
+    for (int sent = 0; sent < requests; ++sent) {
+      each.request("models", start);
+    }
+    for (int tried = 0; tried < 1000; ++tried) {
+      extras += each.take("models", processes, start) ? 1 : 0;
+    }
+  }
+  const double allowed = 0.2 * requests * processes + 62;
+  BOOST_TEST(static_cast<double>(extras) <= allowed);
+  BOOST_TEST(static_cast<double>(extras) >= allowed / 2);
+  // A window later all of it is there again.
+  BOOST_TEST(fleet[0].take("models", processes, start + seconds(11)));
+}
+
+BOOST_AUTO_TEST_CASE(sends_made_without_asking_count_against_the_budget) {
+  retry_budget budget({0.0, 10, seconds(10)});
+  for (int refused = 0; refused < 8; ++refused) {
+    budget.charge("models", start);
+  }
+  BOOST_TEST(!budget.take("models", 1, start));
+}
+
+BOOST_AUTO_TEST_CASE(an_organisation_gets_rate_and_burst_over_any_span) {
+  std::mt19937_64 random(20261204);
+  std::uniform_int_distribution<int> pause_ms(0, 40);
+  std::uniform_int_distribution<int> size(100, 9000);
+  const allowance limit = to_allowance(20000, 30000);
+  fleet_allowance_home home;
+  std::vector<std::pair<time_point, double>> given;
+  time_point now = start;
+  for (int asked = 0; asked < 4000; ++asked) {
+    now += milliseconds(pause_ms(random));
+    const double tokens = size(random);
+    const fleet_tokens_ask ask{1, "importers", tokens, 40000};
+    const fleet_tokens_reply reply = home.ask(ask, limit, now);
+    if (reply.granted) {
+      given.emplace_back(now + from_microseconds(reply.wait_us),
+                         tokens + reply.surplus_tokens);
+    } else {
+      BOOST_TEST(reply.wait_us > 0);
+    }
+  }
+  for (std::size_t first = 0; first < given.size(); first += 17) {
+    double sum = 0;
+    for (const auto& [at, tokens] : given) {
+      sum += at >= given[first].first && at < given[first].first + seconds(8)
+                 ? tokens
+                 : 0;
+    }
+    BOOST_TEST(sum <= 20000 * 8 + 30000 + 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(what_never_ran_is_given_back) {
+  const allowance limit = to_allowance(1, 1000);
+  fleet_allowance_home home;
+  const fleet_tokens_ask ask{1, "importers", 250, 0};
+  BOOST_TEST(home.ask(ask, limit, start).granted);
+  BOOST_TEST(!home.ask(ask, limit, start).granted);
+  home.refund({"importers", 250}, start);
+  BOOST_TEST(home.ask(ask, limit, start).granted);
+}
+
+BOOST_AUTO_TEST_CASE(without_the_leader_each_process_has_its_part) {
+  const allowance limit = to_allowance(8000, 8000);
+  double given = 0;
+  for (int process = 0; process < 8; ++process) {
+    fleet_allowance_share share;
+    for (int asked = 0; asked < 100; ++asked) {
+      const bool taken =
+          share.take_own_part("importers", limit, 100, 8, start) == duration{};
+      given += taken ? 100 : 0;
+    }
+  }
+  BOOST_TEST(given == 8000);
+}
+
+namespace {
+
+listed_server engine(const std::string& id, engine_stage stage) {
+  return {id, "models", "10.0.0.1:80", "z1", 128, false, stage};
+}
+
+server_need need_of(engine_stage stage) {
+  server_need out;
+  out.service = "models";
+  out.stage = stage;
+  out.tokens = 5000;
+  out.kv_tokens = 50000;
+  return out;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(requests_spread_over_the_engines_of_a_stage) {
+  server_list servers({}, 1);
+  servers.replace(
+      {engine("p1", engine_stage::prefill), engine("d1", engine_stage::decode),
+       engine("d2", engine_stage::decode), engine("d3", engine_stage::decode)});
+  std::map<std::string, int> chosen;
+  for (int sent = 0; sent < 9; ++sent) {
+    const auto each = servers.choose(need_of(engine_stage::decode), start);
+    servers.started(each->server.id, 5000, start);
+    ++chosen[each->server.id];
+  }
+  BOOST_TEST(chosen.size() == 3U);
+  for (const auto& [id, count] : chosen) {
+    BOOST_TEST(count == 3);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(leaving_and_switching_engines_get_nothing) {
+  server_list servers({}, 1);
+  listed_server leaving = engine("d1", engine_stage::decode);
+  leaving.leaving = true;
+  servers.replace({leaving, engine("d2", engine_stage::decode)});
+  servers.switching("d2", seconds(6), start);
+  BOOST_TEST(!servers.choose(need_of(engine_stage::decode), start));
+  BOOST_TEST(servers.choose(need_of(engine_stage::decode), start + seconds(7))
+                 ->server.id == "d2");
+}
+
+BOOST_AUTO_TEST_CASE(an_unreachable_server_is_left_alone_until_it_answers) {
+  server_list servers({}, 1);
+  servers.replace(
+      {engine("d1", engine_stage::decode), engine("d2", engine_stage::decode)});
+  const server_need need = need_of(engine_stage::decode);
+  servers.started("d1", 5000, start);
+  BOOST_TEST(
+      servers.ended("d1", 5000, server_result::unreachable, start).has_value());
+  for (int sent = 0; sent < 8; ++sent) {
+    const auto chosen = servers.choose(need, start + milliseconds(100));
+    BOOST_TEST(chosen->server.id == "d2");
+    servers.started("d2", 5000, start);
+  }
+  // After the ejection one request tries it, the next ones wait for the result.
+  const time_point later = start + seconds(1);
+  BOOST_TEST(servers.choose(need, later)->server.id == "d1");
+  servers.started("d1", 5000, later);
+  BOOST_TEST(servers.choose(need, later)->server.id == "d2");
+  servers.answers("d1");
+  BOOST_TEST(servers.choose(need, later)->server.id == "d1");
+}
+
+BOOST_AUTO_TEST_CASE(events_are_passed_on_whole) {
+  event_splitter splitter;
+  auto events = splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
+  BOOST_REQUIRE(events.size() == 1U);
+  BOOST_TEST(events[0].bytes == "id: 1\ndata: a\n\n");
+  BOOST_TEST(*events[0].id == 1);
+  BOOST_TEST(splitter.in_event());
+  events = splitter.feed("ta: b\r\n\r\ndata: c\n\n");
+  BOOST_REQUIRE(events.size() == 2U);
+  BOOST_TEST(*events[0].id == 2);
+  BOOST_TEST(!events[1].id.has_value());
+  BOOST_TEST(!splitter.in_event());
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_is_asked_back_within_a_third_of_its_time) {
+  std::mt19937_64 random(1);
+  for (int drawn = 0; drawn < 1000; ++drawn) {
+    const duration wait =
+        suggest_retry_after(milliseconds(900), milliseconds(1500), random);
+    BOOST_TEST(wait.count() <= duration(milliseconds(500)).count());
+    BOOST_TEST(wait.count() > 0);
+  }
+}
+
+// Load: prompts of 0.09 s and answers of 3 s, at 18 engines of which six
+// prefill. Decode memory runs out while prefill engines idle.
+BOOST_AUTO_TEST_CASE(idle_prefill_engines_are_moved_to_decode) {
+  stage_planner planner({});
+  std::vector<listed_server> engines;
+  for (int at = 0; at < 18; ++at) {
+    engines.push_back(
+        engine("e" + std::to_string(at),
+               at < 6 ? engine_stage::prefill : engine_stage::decode));
+  }
+  std::vector<stage_order> orders;
+  time_point now = start;
+  for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
+    planner.report("g1", {"models", 1.2, 4.4}, now);
+    planner.report("g2", {"models", 0.7, 2.6}, now);
+    for (const stage_order& order : planner.plan("models", engines, now)) {
+      orders.push_back(order);
+    }
+  }
+  BOOST_REQUIRE(orders.size() == 2U);  // 18 * 1.9 / 8.9, rounded up, prefill
+  for (const stage_order& order : orders) {
+    BOOST_TEST((order.stage == engine_stage::decode));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(no_engine_moves_in_a_burst_or_without_load) {
+  stage_planner planner({});
+  const std::vector<listed_server> engines{
+      engine("e1", engine_stage::prefill), engine("e2", engine_stage::decode),
+      engine("e3", engine_stage::decode), engine("e4", engine_stage::decode)};
+  time_point now = start;
+  for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
+    // Prompts wait, but decode memory is in use: it isn't taken away.
+    planner.report("g1", {"models", 2.5, 2.8}, now);
+    BOOST_TEST(planner.plan("models", engines, now).empty());
+  }
+  stage_planner idle({});
+  for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
+    idle.report("g1", {"models", 0.01, 0.3}, now);
+    BOOST_TEST(idle.plan("models", engines, now).empty());
+  }
+}
+
+}  // namespace citronwharf
--- /dev/null
+++ b/test/gateway-system-test.cc
@@ -0,0 +1,416 @@
+// A gateway in a real process between stand-ins of the platform: its list, its
+// servers, its operator, its callers and its balancer.
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+#include <memory>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "processes.h"
+#include "run-until.h"
+
+using namespace citronwharf;        // NOLINT(google-build-using-namespace)
+using namespace citronwharf::test;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+http_response reply(int status, const std::string& body,
+                    std::vector<header_field> headers = {}) {
+  return {status, std::move(headers), body};
+}
+
+// One server of the platform. Tests set how it answers.
+class stand_in_server {
+ public:
+  using answer =
+      std::function<void(const http_request&, std::unique_ptr<http_exchange>)>;
+
+  explicit stand_in_server(boost::asio::io_context& loop)
+      : server_(loop, {},
+                [this](const http_request& request,
+                       std::unique_ptr<http_exchange> exchange) {
+                  seen.push_back(request);
+                  answers(request, std::move(exchange));
+                }) {
+    port_ = server_.listen().value();
+    answers = [](const http_request& request,
+                 std::unique_ptr<http_exchange> exchange) {
+      exchange->respond(
+          reply(200, "done",
+                {{"Citronwharf-Server-Stamp", "s"},
+                 {"Citronwharf-Request-Id",
+                  find_header(request.headers, "Citronwharf-Request-Id")}}));
+    };
+  }
+  std::string address() const { return fmt::format("127.0.0.1:{}", port_); }
+
+  std::vector<http_request> seen;
+  answer answers;
+
+ private:
+  http_server server_;
+  std::uint16_t port_ = 0;
+};
+
+std::string event(int id) {
+  return fmt::format("id: {}\ndata: t{}\n\n", id, id);
+}
+
+struct world {
+  world() {
+    list.answers = [this](const http_request&,
+                          std::unique_ptr<http_exchange> exchange) {
+      exchange->respond(
+          reply(200, json{{"instances", instances}, {"next", nullptr}}.dump()));
+    };
+    add("p1", "models", "prefill", prefill);
+    add("d1", "models", "decode", decode);
+    add("d2", "models", "decode", other_decode);
+    add("s1", "desk", "", desk);
+    prefill.answers = [](const http_request&,
+                         std::unique_ptr<http_exchange> exchange) {
+      exchange->respond(
+          reply(200, R"({"handle":"h1","tokens":1460,"version":1})"));
+    };
+    decode.answers = stream_of(3);
+    other_decode.answers = stream_of(3);
+    start();
+  }
+
+  void add(const std::string& id, const std::string& service,
+           const std::string& stage, const stand_in_server& server) {
+    json entry{{"id", id},     {"service", service}, {"addr", server.address()},
+               {"zone", "z1"}, {"slots", 8},         {"state", "ready"}};
+    if (!stage.empty()) {
+      entry["stage"] = stage;
+    }
+    instances.push_back(entry);
+  }
+
+  static stand_in_server::answer stream_of(int events) {
+    return [events](const http_request& request,
+                    std::unique_ptr<http_exchange> exchange) {
+      if (request.target == "/-/hold-take") {
+        exchange->respond(reply(200, R"({"hold":"m1"})"));
+        return;
+      }
+      if (request.method == "DELETE") {
+        exchange->respond(reply(200, "{}"));
+        return;
+      }
+      const std::string last = find_header(request.headers, "Last-Event-Id");
+      const int first = last.empty() ? 1 : std::stoi(last) + 1;
+      exchange->start_stream(reply(200, "",
+                                   {{"Citronwharf-Server-Stamp", "s"},
+                                    {"Content-Type", "text/event-stream"}}));
+      for (int id = first; id <= events; ++id) {
+        exchange->write(event(id));
+      }
+      exchange->finish();
+    };
+  }
+
+  void start() {
+    const json settings{
+        {"process", "g1"},
+        {"deployment", "test"},
+        {"region", "r1"},
+        {"failure_domain", "z1"},
+        {"roles", {"gateway"}},
+        {"secret", "a secret of the test, long enough for it"},
+        {"data_folder", folder.path() + "/data"},
+        {"port_file", folder.path() + "/ports.json"},
+        {"listen", {{"peers", "127.0.0.1:0"}}},
+        {"gateway",
+         {{"readiness", "127.0.0.1:0"},
+          {"operators", "127.0.0.1:0"},
+          {"directory", list.address()},
+          {"directory_interval_ms", 100},
+          {"drain_announce_ms", 300},
+          {"seeds", {"127.0.0.1:1"}},  // the port is that of listen.peers
+          {"first_start", true},
+          {"tolerated_losses", 0}}}};
+    const std::string path = folder.write("g1.json", settings.dump());
+    std::filesystem::remove(folder.path() + "/ports.json");
+    gateway = std::make_unique<child_process>(
+        "citronwharf_gateway", std::vector<std::string>{"--settings=" + path},
+        folder.path() + "/g1.log");
+    const std::string ports = folder.path() + "/ports.json";
+    callers = fmt::format("127.0.0.1:{}", wait_port(ports, "callers"));
+    operators = fmt::format("127.0.0.1:{}", wait_port(ports, "operators"));
+    readiness = fmt::format("127.0.0.1:{}", wait_port(ports, "readiness"));
+  }
+
+  // Returns the response, or status 0 when the connection broke off.
+  http_response call(const std::string& address, const http_request& request) {
+    http_response out;
+    out.status = -1;
+    const auto running =
+        fetch(loop, {address}, request,
+              [&](absl::StatusOr<http_response> response, bool /*sent*/) {
+                out = response.ok() ? *std::move(response) : reply(0, "");
+              });
+    BOOST_REQUIRE(run_until(loop, [&] { return out.status != -1; }));
+    return out;
+  }
+
+  http_response publish(int version, const std::string& key = "k1",
+                        int tokens_per_second = 1000000) {
+    const auto route = [](const char* name, const char* prefix,
+                          const char* kind, const char* service,
+                          bool resumable) {
+      return json{{"name", name},          {"host", "a.example"},
+                  {"pathPrefix", prefix},  {"kind", kind},
+                  {"timeoutMs", 2000},     {"goalMs", 500},
+                  {"service", service},    {"attempts", 2},
+                  {"resumable", resumable}};
+    };
+    const json state{{"version", version},
+                     {"routes",
+                      {route("stream", "/s/", "stream", "models", false),
+                       route("resumable", "/r/", "stream", "models", true),
+                       route("commit", "/c/", "unsafe", "desk", false),
+                       route("lookup", "/l/", "safe", "desk", false)}},
+                     {"services",
+                      {{{"name", "models"},
+                        {"engine",
+                         {{"slots", 8},
+                          {"kvTokens", 50000},
+                          {"handleS", 0.5},
+                          {"holdMs", 2000}}}},
+                       {{"name", "desk"}}}},
+                     {"tenants",
+                      {{{"name", "t1"},
+                        {"apiKeys", {key}},
+                        {"unit", "tokens"},
+                        {"plainTokens", 200},
+                        {"ratePerS", tokens_per_second},
+                        {"burst", tokens_per_second}}}}};
+    return call(operators, {"POST", "/-/Config.Put", {}, state.dump(), ""});
+  }
+
+  http_request request_to(const std::string& path,
+                          const std::string& key = "k1") {
+    return {"POST",
+            path,
+            {{"Host", "a.example"},
+             {"Authorization", "Token " + key},
+             {"Citronwharf-Request-Id", fmt::format("q{}", ++last_id)},
+             {"Citronwharf-Deadline-Ms", "2000"}},
+            "body",
+            ""};
+  }
+
+  http_request prompt_to(const std::string& path) {
+    http_request out = request_to(path);
+    out.headers.push_back({"Citronwharf-Token-Count", "1000,80"});
+    return out;
+  }
+
+  void wait_served() {
+    BOOST_REQUIRE(run_until(loop, [&] {
+      return call(readiness, {"GET", "/-/ready", {}, "", ""}).status == 200;
+    }));
+  }
+
+  boost::asio::io_context loop;
+  run_folder folder;
+  stand_in_server list{loop};
+  stand_in_server prefill{loop};
+  stand_in_server decode{loop};
+  stand_in_server other_decode{loop};
+  stand_in_server desk{loop};
+  json instances = json::array();
+  std::string callers;
+  std::string operators;
+  std::string readiness;
+  std::unique_ptr<child_process> gateway;
+  int last_id = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_calm_minute_in_one_process, world) {
+  BOOST_TEST(call(callers, request_to("/c/1")).status == 503);
+  BOOST_TEST(call(readiness, {"GET", "/-/ready", {}, "", ""}).status == 503);
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+
+  // A commit reaches its server with the organisation and without the key.
+  BOOST_TEST(call(callers, request_to("/c/1")).body == "done");
+  BOOST_REQUIRE(desk.seen.size() == 1U);
+  const http_request sent = desk.seen.back();
+  BOOST_TEST(find_header(sent.headers, "Citronwharf-Tenant") == "t1");
+  BOOST_TEST(find_header(sent.headers, "Authorization") == "");
+  BOOST_TEST(sent.body == "body");
+
+  // A generation: prompt on one engine, answer from another.
+  const http_response stream = call(callers, prompt_to("/s/1"));
+  BOOST_TEST(stream.body == event(1) + event(2) + event(3));
+  BOOST_TEST(find_header(prefill.seen.back().headers, "Citronwharf-Stage") ==
+             "prefill");
+
+  BOOST_TEST(call(callers, request_to("/none/1")).status == 404);
+  BOOST_TEST(call(callers, request_to("/c/1", "wrong")).status == 401);
+  // 4,000 tokens of burst are soon spent.
+  BOOST_TEST(publish(8, "k1", 4000).status == 200);
+  http_response over;
+  BOOST_TEST(run_until(loop, [&] {
+    over = call(callers, prompt_to("/s/1"));
+    return over.status == 429;
+  }));
+  BOOST_TEST(!find_header(over.headers, "Retry-After").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(operators_publish_and_read_back, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  BOOST_TEST(publish(7, "other").status == 200);  // changes nothing
+  BOOST_TEST(publish(6, "other").status == 200);
+  const http_response read =
+      call(operators, {"GET", "/-/Config.Get", {}, "", ""});
+  BOOST_TEST(read.status == 200);
+  BOOST_TEST(json::parse(read.body).at("tenants")[0].at("apiKeys")[0] == "k1");
+  BOOST_TEST(call(operators, {"POST", "/-/Config.Put", {}, "{\"version\":", ""})
+                 .status == 400);
+  // A withdrawn key stops working.
+  BOOST_TEST(publish(8, "k2").status == 200);
+  BOOST_TEST(run_until(loop, [&] {
+    return call(callers, request_to("/c/1", "k1")).status == 401;
+  }));
+  // What was acknowledged survives the process.
+  gateway->kill();
+  start();
+  BOOST_TEST(run_until(loop, [&] {
+    const auto again = call(operators, {"GET", "/-/Config.Get", {}, "", ""});
+    return again.status == 200 && json::parse(again.body).at("version") == 8;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_commit_whose_answer_is_lost_runs_once, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  desk.answers = [](const http_request&, std::unique_ptr<http_exchange>) {};
+  BOOST_TEST(call(callers, request_to("/c/1")).status == 502);
+  BOOST_TEST(desk.seen.size() == 1U);
+  // A server that states that it ran nothing may be asked again, elsewhere.
+  desk.answers = [](const http_request&,
+                    std::unique_ptr<http_exchange> exchange) {
+    exchange->respond(reply(503, "", {{"Citronwharf-Not-Run", "1"}}));
+  };
+  const http_response refused = call(callers, request_to("/c/2"));
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(!find_header(refused.headers, "Retry-After").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_commit_is_answered_as_unknown, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  std::vector<std::unique_ptr<http_exchange>> held;
+  desk.answers = [&](const http_request&,
+                     std::unique_ptr<http_exchange> exchange) {
+    held.push_back(std::move(exchange));
+  };
+  http_request request = request_to("/c/1");
+  request.headers.back().value = "300";
+  // It may run: 503 would promise that it does not.
+  BOOST_TEST(call(callers, request).status == 504);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_breaks_goes_on_at_another_engine, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  const auto whole = stream_of(4);
+  int broken = 0;
+  const stand_in_server::answer breaks =
+      [&](const http_request& request,
+          std::unique_ptr<http_exchange> exchange) {
+        if (request.target.rfind("/r/", 0) != 0 &&
+            request.target.rfind("/s/", 0) != 0) {
+          whole(request, std::move(exchange));
+          return;
+        }
+        if (broken++ > 0) {
+          whole(request, std::move(exchange));
+          return;
+        }
+        exchange->start_stream(reply(200, ""));
+        // Breaks off in the middle of an event, once that is written.
+        exchange->write(event(1) + event(2) + "id: 3\nda");
+        const std::shared_ptr<http_exchange> held = std::move(exchange);
+        const auto timer = std::make_shared<runtime_timer>(loop);
+        timer->expires_after(milliseconds(50));
+        timer->async_wait([held, timer](auto /*error*/) {});
+      };
+  decode.answers = breaks;
+  other_decode.answers = breaks;
+  const http_response resumed = call(callers, prompt_to("/r/1"));
+  BOOST_TEST(resumed.body == event(1) + event(2) + event(3) + event(4));
+  BOOST_TEST(broken == 2);
+  // One that may not be resumed must not look complete.
+  broken = 0;
+  BOOST_TEST(call(callers, prompt_to("/s/1")).status == 0);
+  BOOST_TEST(broken == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_decode_memory_no_prompt_is_read, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  const stand_in_server::answer full =
+      [](const http_request&, std::unique_ptr<http_exchange> exchange) {
+        exchange->respond(reply(503, "", {{"Citronwharf-Not-Run", "1"}}));
+      };
+  decode.answers = full;
+  other_decode.answers = full;
+  const http_response refused = call(callers, prompt_to("/s/1"));
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(prefill.seen.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_ends_the_work, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  std::vector<std::unique_ptr<http_exchange>> held;
+  bool closed = false;
+  desk.answers = [&](const http_request&,
+                     std::unique_ptr<http_exchange> exchange) {
+    exchange->on_closed([&] { closed = true; });
+    held.push_back(std::move(exchange));
+  };
+  auto running = fetch(loop, {callers}, request_to("/c/1"),
+                       [](absl::StatusOr<http_response>, bool) {});
+  BOOST_REQUIRE(run_until(loop, [&] { return !held.empty(); }));
+  running.reset();
+  BOOST_TEST(run_until(loop, [&] { return closed; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_drain_answers_what_is_under_way, world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  std::vector<std::unique_ptr<http_exchange>> held;
+  desk.answers = [&](const http_request&,
+                     std::unique_ptr<http_exchange> exchange) {
+    held.push_back(std::move(exchange));
+  };
+  http_response got;
+  got.status = -1;
+  const auto running =
+      fetch(loop, {callers}, request_to("/c/1"),
+            [&](absl::StatusOr<http_response> response, bool) {
+              got = response.ok() ? *std::move(response) : reply(0, "");
+            });
+  BOOST_REQUIRE(run_until(loop, [&] { return !held.empty(); }));
+  gateway->send_signal(SIGTERM);
+  BOOST_TEST(run_until(loop, [&] {
+    return call(readiness, {"GET", "/-/ready", {}, "", ""}).status == 503;
+  }));
+  BOOST_TEST(gateway->running());
+  held.front()->respond(
+      reply(200, "late", {{"Citronwharf-Server-Stamp", "s"}}));
+  BOOST_TEST(run_until(loop, [&] { return got.status != -1; }));
+  BOOST_TEST(got.body == "late");
+  BOOST_TEST(gateway->wait() == 0);
+}
--- /dev/null
+++ b/test/platform-test.cc
@@ -0,0 +1,205 @@
+// The platform's adapter: what it reads, what it refuses, what it passes on.
+#include <boost/test/unit_test.hpp>
+
+#include "control/key.h"
+#include "platform/codec.h"
+
+using namespace citronwharf;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+nlohmann::json desired_state() {
+  return nlohmann::json::parse(R"({
+    "version": 7,
+    "routes": [
+      {"name": "r1", "host": "a.example", "pathPrefix": "/s/",
+       "kind": "stream", "timeoutMs": 14000, "goalMs": 900, "priority": 1,
+       "service": "models", "attempts": 1, "public": false, "sticky": true,
+       "resumable": false, "gapTargetMs": 300},
+      {"name": "r2", "host": "a.example", "pathPrefix": "/t/",
+       "kind": "stream", "timeoutMs": 14000, "goalMs": 900, "priority": 1,
+       "split": [{"service": "models", "weight": 90},
+                 {"service": "desk", "weight": 10}],
+       "attempts": 2, "resumable": true},
+      {"name": "r3", "host": "a.example", "pathPrefix": "/u/",
+       "kind": "unsafe", "timeoutMs": 800, "service": "desk"},
+      {"name": "r4", "host": "a.example", "pathPrefix": "/v/",
+       "kind": "safe", "timeoutMs": 800, "service": "desk", "attempts": 2}],
+    "services": [
+      {"name": "models", "healthPath": "/health", "maxConns": 650,
+       "engine": {"slots": 128, "kvTokens": 67402, "kvBytes": 18432,
+                  "netMbps": 550000.0, "handleS": 0.5, "switchS": 6.0,
+                  "holdMs": 2000.0}},
+      {"name": "desk", "healthPath": "/health", "maxConns": 130}],
+    "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000000,
+               "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1,
+                 "unit": "tokens", "plainTokens": 200, "ratePerS": 58766,
+                 "burst": 58766}]})");
+}
+
+http_request sample_request() {
+  http_request in;
+  in.method = "POST";
+  in.target = "/s/2f?x=1";
+  in.body = "prompt";
+  in.headers = {{"Host", "a.example"},
+                {"Citronwharf-Request-Id", "9c41"},
+                {"Citronwharf-Model", "m"},
+                {"Citronwharf-Token-Count", "1460,80"},
+                {"Citronwharf-Prefix-Hash", "5c1e:800,91bd:660"},
+                {"Citronwharf-Deadline-Ms", "14000"},
+                {"Authorization", "Token k1"},
+                {"Connection", "keep-alive, X-Mine"},
+                {"X-Mine", "1"},
+                {"X-Other", "2"},
+                {"Citronwharf-Tenant", "forged"},
+                {"Citronwharf-Hold", "forged"},
+                {"Citronwharf-Pin-Ms", "1"},
+                {"Citronwharf-Kv-Source", "forged"},
+                {"Citronwharf-Kv-Backup", "forged"},
+                {"Citronwharf-Stage", "forged"},
+                {"Last-Event-Id", "12"}};
+  return in;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_desired_state_is_read_into_our_terms) {
+  const auto read = platform::read_configuration(desired_state().dump());
+  BOOST_REQUIRE(read.ok());
+  BOOST_TEST(read->version == 7U);
+  BOOST_TEST((read->routes[0].repeat == repeatability::at_most_once));
+  BOOST_TEST(read->routes[0].stream);
+  BOOST_TEST((read->routes[1].repeat == repeatability::resumable_stream));
+  BOOST_TEST(read->routes[1].services.size() == 2U);
+  BOOST_TEST((read->routes[2].repeat == repeatability::at_most_once));
+  BOOST_TEST((read->routes[3].repeat == repeatability::idempotent));
+  BOOST_TEST(read->services[0].engine->export_lifetime_ms == 500);
+  BOOST_TEST(read->services[0].engine->switch_ms == 6000);
+  BOOST_TEST(!read->services[1].engine.has_value());
+  BOOST_TEST(read->organisations[0].key_digests[1] == digest_of("k2"));
+  BOOST_TEST(read->organisations[0].tokens_per_plain_request == 200);
+  BOOST_TEST(read->limits.max_header_bytes == 8192);
+}
+
+BOOST_AUTO_TEST_CASE(an_invalid_desired_state_is_refused_with_the_reason) {
+  const auto damaged = [](const char* pointer, const nlohmann::json& value) {
+    nlohmann::json out = desired_state();
+    out[nlohmann::json::json_pointer(pointer)] = value;
+    return out.dump();
+  };
+  const std::string whole = desired_state().dump();
+  const std::pair<std::string, const char*> rows[] = {
+      {whole.substr(0, whole.size() / 2), "parse error"},
+      {damaged("/routes/0/service", "nobody"), "does not exist"},
+      {damaged("/routes/1/pathPrefix", "/s/"), "another route"},
+      {damaged("/routes/0/timeoutMs", 0), "timeout"},
+      {damaged("/routes/0/timeoutMs", "soon"), "type"},
+      {damaged("/version", "seven"), "type"},
+      {damaged("/routes/1/split", {{{"service", "models"}, {"weight", 0}}}),
+       "add up to 0"},
+      {damaged("/tenants/1", {{"name", "t2"}, {"apiKeys", {"k1"}}}),
+       "share a key"},
+  };
+  for (const auto& [text, reason] : rows) {
+    const auto read = platform::read_configuration(text);
+    BOOST_REQUIRE(!read.ok());
+    BOOST_TEST_CONTEXT(reason << ": " << read.status().ToString()) {
+      BOOST_TEST(std::string(read.status().message()).find(reason) !=
+                 std::string::npos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_reaches_the_server_without_key_and_forgeries) {
+  const caller_request read = platform::read_request(sample_request());
+  BOOST_TEST(read.key == "k1");
+  BOOST_TEST(read.path == "/s/2f");
+  BOOST_TEST(*read.prompt_tokens == 1460);
+  BOOST_TEST(*read.max_output_tokens == 80);
+  BOOST_TEST(read.prompt.size() == 2U);
+  BOOST_TEST(*read.last_event == 12);
+  server_call call;
+  call.organisation = "t1";
+  call.instance = "i-1";
+  call.deadline = milliseconds(900);
+  call.last_event = 15;
+  const http_request sent = platform::make_call(read, call);
+  BOOST_TEST(sent.method == "POST");
+  BOOST_TEST(sent.target == "/s/2f?x=1");
+  BOOST_TEST(sent.body == "prompt");
+  const std::pair<const char*, const char*> rows[] = {
+      {"Authorization", ""},
+      {"Connection", ""},
+      {"X-Mine", ""},
+      {"X-Other", "2"},
+      {"Host", "a.example"},
+      {"Citronwharf-Request-Id", "9c41"},
+      {"Citronwharf-Model", "m"},
+      {"Citronwharf-Token-Count", "1460,80"},
+      {"Citronwharf-Prefix-Hash", "5c1e:800,91bd:660"},
+      {"Citronwharf-Tenant", "t1"},
+      {"Citronwharf-Expect-Instance", "i-1"},
+      {"Citronwharf-Deadline-Ms", "900"},
+      {"Citronwharf-Hold", ""},
+      {"Citronwharf-Pin-Ms", ""},
+      {"Citronwharf-Kv-Source", ""},
+      {"Citronwharf-Kv-Backup", ""},
+      {"Citronwharf-Stage", ""},
+      {"Last-Event-Id", "15"},
+  };
+  for (const auto& [name, value] : rows) {
+    BOOST_TEST_CONTEXT(name) {
+      BOOST_TEST(find_header(sent.headers, name) == value);
+      BOOST_TEST(count_header(sent.headers, name) <= 1);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_tells_load_and_whether_anything_ran) {
+  http_response head;
+  head.status = 503;
+  head.headers = {{"Citronwharf-Not-Run", "1"},
+                  {"Citronwharf-Load", "3,1,8"},
+                  {"Citronwharf-Request-Id", "9c41"}};
+  const server_answer read = platform::read_answer(head);
+  BOOST_TEST(read.not_run);
+  BOOST_TEST(read.load->waiting == 1);
+  BOOST_TEST(read.request_id == "9c41");
+  head.headers = {{"Citronwharf-Load", "3,x,8"}};
+  BOOST_TEST(!platform::read_answer(head).not_run);
+  BOOST_TEST(!platform::read_answer(head).load.has_value());
+  head.status = 421;
+  BOOST_TEST(platform::read_answer(head).not_run);
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_the_list_that_make_no_sense_are_left_out) {
+  nlohmann::json good{{"id", "i-1"},          {"service", "models"},
+                      {"addr", "1.2.3.4:80"}, {"zone", "z1"},
+                      {"slots", 128},         {"state", "ready"},
+                      {"stage", "decode"}};
+  nlohmann::json page{{"instances", {good}}, {"next", "p-50"}};
+  const std::pair<const char*, nlohmann::json> damages[] = {
+      {"id", 5},         {"addr", nullptr},   {"state", "asleep"},
+      {"slots", "many"}, {"stage", "encode"}, {"service", nlohmann::json()}};
+  for (const auto& [field, value] : damages) {
+    nlohmann::json entry = good;
+    entry[field] = value;
+    page["instances"].push_back(entry);
+  }
+  page["instances"].push_back("a word");
+  auto read = platform::read_servers(page.dump());
+  BOOST_REQUIRE(read.ok());
+  BOOST_TEST(read->servers.size() == 1U);
+  BOOST_TEST(read->unreadable == 7U);
+  BOOST_TEST(read->next == "p-50");
+  BOOST_TEST((read->servers[0].stage == engine_stage::decode));
+  // A byte that is no UTF-8 costs its entry at most.
+  std::string text = page.dump();
+  text.replace(text.find("a word"), 1, "\xff");
+  read = platform::read_servers(text);
+  BOOST_REQUIRE(read.ok());
+  BOOST_TEST(read->servers.size() == 1U);
+  BOOST_TEST(!platform::read_servers("[]").ok());
+}
