A restarted group elects its leader at once; small waits for allowances

A replica that has heard of no leader asks again when members become reachable. Requests were refused for want of tokens that accrue within 40 ms. Ruled out: shorter election timeouts, which thin VMs would miss.

--- a/src/control/log_election.cc
+++ b/src/control/log_election.cc
@@ -2,6 +2,8 @@
 // down when it can't reach a majority.
 #include <utility>
 
+#include <algorithm>
+
 #include "control/replicated_log.h"
 
 namespace citronwharf {
@@ -53,6 +55,23 @@
   election_deadline_ = now + duration(draw(random_));
 }
 
+void replicated_log::peer_reachable(time_point now,
+                                    const std::string& process) {
+  const bool waits = role_ == log_role::follower ||
+                     (role_ == log_role::candidate && pre_vote_);
+  const bool member = std::any_of(
+      members().begin(), members().end(), [&](const replica_member& each) {
+        return each.voter && each.process == process;
+      });
+  if (heard_leader_ || !waits || !member || !may_campaign()) {
+    return;
+  }
+  std::uniform_int_distribution<duration::rep> draw(
+      0, options_.first_election_max.count());
+  election_deadline_ =
+      std::min(election_deadline_, now + duration(draw(random_)));
+}
+
 void replicated_log::start_election(time_point now, bool pre_vote) {
   if (!pre_vote) {
     become_follower(now, state_.term + 1);
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -156,6 +156,13 @@
   listen_for<append_reply>();
   listen_for<snapshot_request>();
   listen_for<snapshot_reply>();
+  environment_.peers.on_session(
+      [this, alive = alive_](const peer_id& peer, bool up) {
+        if (*alive && up) {
+          log_->peer_reachable(now(), peer.name);
+          schedule_pump();
+        }
+      });
   joiner_ = std::make_unique<member_joiner>(
       environment_.peers, *log_, options.id, [this] { schedule_pump(); });
   pump();
--- a/src/control/replicated_log.h
+++ b/src/control/replicated_log.h
@@ -30,6 +30,9 @@
   /// majority for the longer one steps down.
   duration election_min = milliseconds(500);
   duration election_max = milliseconds(1000);
+  /// Spread of the first election after a start, once members are reachable:
+  /// some round trips and syncs of a disk.
+  duration first_election_max = milliseconds(150);
   duration resend_after = milliseconds(500);  ///< for unanswered entries
   std::size_t max_append_entries = 512;
   std::size_t max_append_bytes = 256U << 10U;
@@ -105,6 +108,10 @@
   /// Takes a message from the process `from`, whose name is authenticated.
   void receive(time_point now, const std::string& from,
                const log_message& message);
+  /// A session to the process of another member came up. A replica that has
+  /// heard of no leader since it started then asks for votes soon: after a
+  /// restart of all members, nobody else will.
+  void peer_reachable(time_point now, const std::string& process);
   /// Does what is due. Call at next_deadline() at the latest.
   void tick(time_point now);
   /// The batch with this sequence is synced.
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -23,8 +23,11 @@
 constexpr int status_not_found = 404;
 // Operators' documents with some hundreds of routes.
 constexpr std::size_t max_operator_body_bytes = 16U << 20U;
-// Share of the latency objective that a request may wait for its allowance.
+// A request may wait for its allowance for a share of its latency objective,
+// but no longer than this: a generation that reserved tokens far ahead would
+// shut out its organisation's small requests.
 constexpr double max_allowance_wait_share = 0.25;
+constexpr duration max_allowance_wait = milliseconds(40);
 // Until a configuration says otherwise.
 constexpr duration retry_without_configuration = milliseconds(300);
 
@@ -290,13 +293,9 @@
   // Shared, since std::function asks for closures that can be copied.
   auto held = std::make_shared<admitted_request>(std::move(request));
   ++asking_;
-  // A generation that reserved tokens ahead would shut out an organisation's
-  // small requests, of which dozens fit into its tokens.
-  const auto max_wait = held->route->stream
-                            ? duration{}
-                            : std::chrono::duration_cast<duration>(
-                                  milliseconds(held->route->objective_ms) *
-                                  max_allowance_wait_share);
+  const auto share = std::chrono::duration_cast<duration>(
+      milliseconds(held->route->objective_ms) * max_allowance_wait_share);
+  const duration max_wait = std::min(share, max_allowance_wait);
   allowances_.take(held->organisation, tokens, max_wait,
                    [this, held, tokens](const allowance_answer& answer) {
                      on_allowance(held, tokens, answer);
--- a/test/replicated_log-test.cc
+++ b/test/replicated_log-test.cc
@@ -274,3 +274,26 @@
     BOOST_TEST(log.state().term == term);
   }
 }
+
+// All members restart at once: none has heard of a leader, and the first
+// requests for votes went nowhere.
+BOOST_AUTO_TEST_CASE(a_restarted_group_elects_once_members_are_reachable) {
+  citronwharf::replicated_log_options options;
+  options.id = "r1";
+  options.process = "vm1";
+  citronwharf::restored_log restored;
+  restored.state = {"group", 3, ""};
+  restored.snapshot = citronwharf::log_snapshot{
+      1,
+      3,
+      {{"r1", "vm1", "10.0.0.1:1", true}, {"r2", "vm2", "10.0.0.2:1", true}},
+      {}};
+  const citronwharf::time_point start{std::chrono::seconds(100)};
+  citronwharf::replicated_log log(options, std::mt19937_64(1), restored, start);
+  log.tick(start);
+  log.take_actions(start);
+  log.peer_reachable(start, "stranger");
+  BOOST_TEST((log.next_deadline() > start + options.first_election_max));
+  log.peer_reachable(start, "vm2");
+  BOOST_TEST((log.next_deadline() <= start + options.first_election_max));
+}
