Requests that wait for engine memory queue at their gateway

One request of a gateway asks at a time, and who can't be served in time, by how fast the queue moves, is refused at once.

--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -12,6 +13,7 @@
 
 #include "gateway/attempt_policy.h"
 #include "gateway/codec.h"
+#include "gateway/memory_queue.h"
 #include "gateway/retry_budget.h"
 #include "gateway/server_list.h"
 #include "gateway/stage_controller.h"
@@ -30,6 +32,7 @@
   retry_budget& budget;
   metric_registry& metrics;
   engine_meter& meter;
+  std::map<std::string, memory_queue>& memory_queues;  ///< by service
   std::mt19937_64& random;
   std::string failure_domain;              ///< of this process
   std::function<std::size_t()> processes;  ///< of the fleet
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -77,6 +77,7 @@
                      budget_,
                      process.metrics,
                      stages_.meter(),
+                     memory_queues_,
                      random_,
                      process.options.failure_domain,
                      [this] { return cluster_.follower().processes(); },
@@ -127,6 +128,7 @@
   directory_reader directory_;
   stage_controller stages_;
   std::shared_ptr<const routing_table> table_;
+  std::map<std::string, memory_queue> memory_queues_;
   forward_environment environment_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> readiness_;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -67,13 +67,19 @@
 
  private:
   void begin() override {
-    waiting_since_ = request().received;
+    waits_until_ = request().received + milliseconds(route().objective_ms) -
+                   usual_first_event;
     environment().meter.asked(request().service->name, prompt_tokens_,
                               runtime_clock::now());
-    plan();
+    if (queue().empty()) {
+      plan();
+    } else {
+      wait_for_memory();
+    }
   }
 
   void stop() override {
+    leave_queue(false);
     hold_call_.reset();
     end_call(server_result::abandoned);
     drop_hold();
@@ -161,8 +167,8 @@
     }
     hold_ = *std::move(hold);
     environment().servers.answers(id);
-    note(fmt::format("hold({},tokens={},refused={},waits={})", id, tokens_,
-                     holds_refused_, waits_));
+    note(fmt::format("hold({},tokens={},refused={},polls={})", id, tokens_,
+                     holds_refused_, polls_));
     go_on();
   }
 
@@ -178,22 +184,46 @@
       return;
     }
     full_.clear();
-    const duration waited = runtime_clock::now() - waiting_since_;
-    const duration spare =
-        streaming_ ? max_resume_wait
-                   : milliseconds(route().objective_ms) - usual_first_event;
-    if (waited + hold_wait > spare) {
-      note(fmt::format("no_memory(refused={},waits={})", holds_refused_,
-                       waits_));
+    wait_for_memory();
+  }
+
+  memory_queue& queue() {
+    return environment().memory_queues[request().service->name];
+  }
+
+  // A stream that is under way goes before those that have not begun.
+  void wait_for_memory() {
+    const time_point now = runtime_clock::now();
+    const bool in_turn = streaming_ || ticket_;
+    const duration wait = in_turn ? hold_wait : queue().predicted_wait(now);
+    if (now + wait > waits_until_) {
+      note(fmt::format("no_memory(refused={},polls={},predicted_ms={})",
+                       holds_refused_, polls_, wait.count() / 1000));
       conclude(without_retry(report_, progress()));
       return;
     }
-    ++waits_;
-    std::uniform_real_distribution<double> spread(0.5, 1.5);
-    arm(watch_,
-        std::chrono::duration_cast<duration>(hold_wait *
-                                             spread(environment().random)),
-        [this] { plan(); });
+    if (!in_turn) {
+      ticket_ = queue().join(now, [this] { poll_after(duration{}); });
+    }
+    if (streaming_ || queue().is_first(*ticket_)) {
+      ++polls_;
+      std::uniform_real_distribution<double> spread(0.5, 1.5);
+      poll_after(std::chrono::duration_cast<duration>(
+          hold_wait * spread(environment().random)));
+    } else {
+      arm(watch_, waits_until_ - now, [this] { wait_for_memory(); });
+    }
+  }
+
+  void poll_after(duration span) {
+    arm(watch_, span, [this] { plan(); });
+  }
+
+  void leave_queue(bool with_memory) {
+    if (ticket_) {
+      queue().leave(*std::exchange(ticket_, std::nullopt), with_memory,
+                    runtime_clock::now());
+    }
   }
 
   // With the memory sure, chooses who reads the prompt.
@@ -201,6 +231,7 @@
     const time_point now = runtime_clock::now();
     server_list& servers = environment().servers;
     full_.clear();
+    leave_queue(true);
     server_need need = make_need(engine_stage::prefill);
     need.near = decode_->server.failure_domain;
     need.excluded = prefills_tried_;
@@ -490,7 +521,7 @@
     verdict next = after_attempt(report_, progress());
     if (next == verdict::retry) {
       if (!report_.sent || take_budget()) {
-        waiting_since_ = runtime_clock::now();
+        waits_until_ = runtime_clock::now() + max_resume_wait;
         retry();
         return;
       }
@@ -551,6 +582,7 @@
   }
 
   void conclude(verdict next) {
+    leave_queue(false);
     drop_hold();
     drop_export();
     if (streaming_) {
@@ -595,10 +627,11 @@
   listed_server at_hold_;  // the engine that was asked for memory last
   std::string hold_;       // id, "" without one
   time_point hold_until_{};
-  time_point waiting_since_{};  // for memory
+  time_point waits_until_{};                    // for memory
+  std::optional<memory_queue::ticket> ticket_;  // in the queue for it
   std::set<std::string> full_;  // ids of engines without memory, this round
   int holds_refused_ = 0;
-  int waits_ = 0;
+  int polls_ = 0;
   std::unique_ptr<http_call> call_;
   std::string at_server_;  // id, "" without a call
   double decoding_ = 0;    // engines' worth of memory, for the meter
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -404,3 +404,52 @@
 }
 
 }  // namespace citronwharf
+
+namespace citronwharf {
+
+// Load: a burst of 24 requests in 0.2 s while memory for ten a second comes
+// free. Whoever can't be served within 0.6 s is refused at once.
+BOOST_AUTO_TEST_CASE(
+    a_burst_for_memory_serves_what_it_can_and_refuses_the_rest) {
+  constexpr duration patience = milliseconds(600);
+  memory_queue queue;
+  std::deque<std::pair<memory_queue::ticket, time_point>> waiting;
+  int refused_at_once = 0;
+  int served = 0;
+  int served_late = 0;
+  time_point now = start;
+  for (int step = 0; step < 200; ++step, now += milliseconds(5)) {
+    if (step < 48 && step % 2 == 0) {
+      if (queue.predicted_wait(now) > patience) {
+        ++refused_at_once;
+      } else {
+        waiting.emplace_back(queue.join(now, [] {}), now);
+      }
+    }
+    if (step % 20 == 19 && !waiting.empty()) {
+      BOOST_TEST(queue.is_first(waiting.front().first));
+      ++served;
+      served_late += now - waiting.front().second > patience ? 1 : 0;
+      queue.leave(waiting.front().first, true, now);
+      waiting.pop_front();
+    }
+  }
+  BOOST_TEST(refused_at_once + served == 24);
+  BOOST_TEST(served >= 6);       // all memory that came free in time
+  BOOST_TEST(served_late <= 2);  // the prediction starts as a guess
+}
+
+BOOST_AUTO_TEST_CASE(the_next_in_the_queue_is_woken) {
+  memory_queue queue;
+  int woken = 0;
+  const auto first = queue.join(start, [] {});
+  const auto second = queue.join(start, [&] { ++woken; });
+  const auto third = queue.join(start, [] {});
+  queue.leave(third, false, start);
+  BOOST_TEST(woken == 0);
+  queue.leave(first, true, start);
+  BOOST_TEST(woken == 1);
+  BOOST_TEST(queue.is_first(second));
+}
+
+}  // namespace citronwharf
