--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -78,7 +78,8 @@
     return;
   }
   const std::string leader = cluster_.follower().leader();
-  if (leader.empty() || !peers_.send(leader, make_frame(out)).ok()) {
+  if (leader.empty() || !share_.asks_leader(now) ||
+      !peers_.send(leader, make_frame(out)).ok()) {
     decide_alone(ask);
     return;
   }
@@ -93,6 +94,7 @@
   }
   const pending_ask ask = std::move(found->second);
   asks_.erase(found);
+  share_.leader_answered();
   if (!in.leads) {
     decide_alone(ask);
     return;
@@ -136,6 +138,9 @@
     expired.push_back(std::move(each->second));
     each = asks_.erase(each);
   }
+  if (!expired.empty()) {
+    share_.leader_silent(now);
+  }
   for (const pending_ask& ask : expired) {
     decide_alone(ask);
   }
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -11,6 +11,9 @@
 constexpr double surplus_share = 1.0 / 32;
 // A surplus that isn't used by then is given up.
 constexpr duration surplus_lifetime = milliseconds(500);
+// A leader that was silent is asked again after this; an election takes about
+// as long.
+constexpr duration silence_lifetime = milliseconds(500);
 // A request that needs more than the whole burst waits for a full bucket.
 constexpr duration max_wait = seconds(5);
 
@@ -145,6 +148,10 @@
   of.until = now + surplus_lifetime;
 }
 
+void fleet_allowance_share::leader_silent(time_point now) {
+  asks_again_at_ = now + silence_lifetime;
+}
+
 duration fleet_allowance_share::take_own_part(const std::string& organisation,
                                               const allowance& limit,
                                               double tokens,
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -71,6 +71,12 @@
                     time_point now);
   void add_surplus(const std::string& organisation, double tokens,
                    time_point now);
+  /// The leader did not answer in time, or answered.
+  void leader_silent(time_point now);
+  void leader_answered() { asks_again_at_ = time_point{}; }
+  /// Returns whether the leader is worth asking: after a silence, requests
+  /// would each wait for nothing.
+  bool asks_leader(time_point now) const { return now >= asks_again_at_; }
   /// Takes tokens of this gateway's own part of the allowance, for when the
   /// leader can't be asked. Returns the wait until they are there, zero when
   /// they were taken.
@@ -85,6 +91,7 @@
   };
   std::map<std::string, surplus> surplus_;        // by organisation
   std::map<std::string, token_bucket> own_part_;  // by organisation
+  time_point asks_again_at_{};
 };
 
 }  // namespace citronwharf
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -269,6 +269,18 @@
   BOOST_TEST(given == 8000);
 }
 
+// Load: a gateway that is cut off from the leader; incident inc-ec0e.
+BOOST_AUTO_TEST_CASE(a_silent_leader_costs_one_request_its_wait) {
+  fleet_allowance_share share;
+  BOOST_TEST(share.asks_leader(start));
+  share.leader_silent(start);
+  BOOST_TEST(!share.asks_leader(start + milliseconds(400)));
+  BOOST_TEST(share.asks_leader(start + milliseconds(600)));
+  share.leader_silent(start);
+  share.leader_answered();
+  BOOST_TEST(share.asks_leader(start));
+}
+
 namespace {
 
 listed_server engine(const std::string& id, engine_stage stage) {
--- a/test/gateway-system-test.cc
+++ b/test/gateway-system-test.cc
@@ -7,8 +7,8 @@
 #include <filesystem>
 #include <memory>
 
+#include "gateway_stand_ins.h"
 #include "net/http_client.h"
-#include "net/http_server.h"
 #include "processes.h"
 #include "run-until.h"
 
@@ -18,48 +18,6 @@
 
 namespace {
 
-http_response reply(int status, const std::string& body,
-                    std::vector<header_field> headers = {}) {
-  return {status, std::move(headers), body};
-}
-
-// One server of the platform. Tests set how it answers.
-class stand_in_server {
- public:
-  using answer =
-      std::function<void(const http_request&, std::unique_ptr<http_exchange>)>;
-
-  explicit stand_in_server(boost::asio::io_context& loop)
-      : server_(loop, {},
-                [this](const http_request& request,
-                       std::unique_ptr<http_exchange> exchange) {
-                  seen.push_back(request);
-                  answers(request, std::move(exchange));
-                }) {
-    port_ = server_.listen().value();
-    answers = [](const http_request& request,
-                 std::unique_ptr<http_exchange> exchange) {
-      exchange->respond(
-          reply(200, "done",
-                {{"Citronwharf-Server-Stamp", "s"},
-                 {"Citronwharf-Request-Id",
-                  find_header(request.headers, "Citronwharf-Request-Id")}}));
-    };
-  }
-  std::string address() const { return fmt::format("127.0.0.1:{}", port_); }
-
-  std::vector<http_request> seen;
-  answer answers;
-
- private:
-  http_server server_;
-  std::uint16_t port_ = 0;
-};
-
-std::string event(int id) {
-  return fmt::format("id: {}\ndata: t{}\n\n", id, id);
-}
-
 struct world {
   world() {
     list.answers = [this](const http_request&,
