--- a/src/observe/event.cc
+++ b/src/observe/event.cc
@@ -118,15 +118,16 @@
 
 namespace detail {
 
-void write_event(const event_type& type, std::vector<nlohmann::json> values) {
+void write_event(const event_type& type,
+                 const std::vector<nlohmann::json>& values) {
   nlohmann::ordered_json line;
   line["time_ms"] = wall_clock_ms();
   line["severity"] = to_text(type.level);
   line["event"] = type.name;
   line["number"] = type.number;
-  std::vector<std::string> names = absl::StrSplit(type.fields, ',');
+  const std::vector<std::string> names = absl::StrSplit(type.fields, ',');
   for (std::size_t at = 0; at < values.size() && at < names.size(); ++at) {
-    line[names[at]] = std::move(values[at]);
+    line[names[at]] = values[at];
   }
   log_output::instance().write(line, type.level != severity::info);
 }
--- a/src/observe/event.h
+++ b/src/observe/event.h
@@ -43,7 +43,8 @@
 std::uint64_t dropped_log_lines();
 
 namespace detail {
-void write_event(const event_type& type, std::vector<nlohmann::json> values);
+void write_event(const event_type& type,
+                 const std::vector<nlohmann::json>& values);
 }  // namespace detail
 
 /// Logs an event as one JSON object a line on standard output: time, severity,
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -143,11 +143,11 @@
   const attempt_report error{true, true, false, 500};
   const attempt_report good{true, true, false, 200};
   struct row {
-    repeatability repeat;
+    repeatability repeat = repeatability::at_most_once;
     attempt_report report;
-    std::int64_t servers_run;
-    std::int64_t sends;
-    verdict want;
+    std::int64_t servers_run = 0;
+    std::int64_t sends = 0;
+    verdict want = verdict::deliver;
   };
   using kind = repeatability;
   const row rows[] = {
@@ -376,8 +376,10 @@
 // prefill. Decode memory runs out while prefill engines idle.
 BOOST_AUTO_TEST_CASE(idle_prefill_engines_are_moved_to_decode) {
   stage_planner planner({});
+  constexpr int count = 18;
   std::vector<listed_server> engines;
-  for (int at = 0; at < 18; ++at) {
+  engines.reserve(count);
+  for (int at = 0; at < count; ++at) {
     engines.push_back(
         engine("e" + std::to_string(at),
                at < 6 ? engine_stage::prefill : engine_stage::decode));
--- a/test/gateway-system-test.cc
+++ b/test/gateway-system-test.cc
@@ -339,7 +339,7 @@
     held.push_back(std::move(exchange));
   };
   auto running = fetch(loop, {callers}, request_to("/c/1"),
-                       [](absl::StatusOr<http_response>, bool) {});
+                       [](const absl::StatusOr<http_response>&, bool) {});
   BOOST_REQUIRE(run_until(loop, [&] { return !held.empty(); }));
   running.reset();
   BOOST_TEST(run_until(loop, [&] { return closed; }));
