A generation is never sent to a prefill engine for its answer

Cause: with all decode engines tried, the fallback for services without stages could choose a prefill engine, which refuses with 421 and counts as a send.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -112,9 +112,10 @@
     server_list& servers = environment().servers;
     decode_ = servers.choose(make_need(engine_stage::decode), now);
     if (!decode_) {
+      // Servers of a service without stages.
       decode_ = servers.choose(make_need(engine_stage::none), now);
     }
-    if (!decode_) {
+    if (!decode_ || decode_->server.stage == engine_stage::prefill) {
       note("no_server");
       conclude(without_retry(report_, progress()));
       return;
