One way to call a server, one list of voters

Cause: plain requests and generations each built pooled calls and reported ends of their own, and two followers each had voter_ids.

--- a/src/control/configuration_follower.cc
+++ b/src/control/configuration_follower.cc
@@ -10,6 +10,7 @@
 
 #include "base/configuration_json.h"
 #include "control/configuration_document.h"
+#include "control/control_members.h"
 #include "control/control_role.h"
 #include "control/freshness.h"
 #include "observe/event.h"
@@ -24,16 +25,6 @@
 constexpr double poll_jitter = 0.1;  // share of the interval
 constexpr std::size_t most_polls_known = 16;
 
-std::set<std::string> voter_ids(const std::vector<control_member>& members) {
-  std::set<std::string> ids;
-  for (const control_member& member : members) {
-    if (member.voter) {
-      ids.insert(member.id);
-    }
-  }
-  return ids;
-}
-
 // The parts of a snapshot under way.
 class snapshot_parts {
  public:
--- a/src/control/configuration_source.cc
+++ b/src/control/configuration_source.cc
@@ -14,16 +14,6 @@
 
 }  // namespace
 
-std::vector<control_member> to_control_members(
-    const std::vector<replica_member>& members) {
-  std::vector<control_member> out;
-  out.reserve(members.size());
-  for (const replica_member& in : members) {
-    out.push_back({in.id, in.process, in.address, in.voter});
-  }
-  return out;
-}
-
 configuration_source::configuration_source(process_context& process,
                                            replica& log,
                                            const configuration_machine& machine)
--- a/src/control/configuration_source.h
+++ b/src/control/configuration_source.h
@@ -12,6 +12,7 @@
 
 #include "base/process_context.h"
 #include "control/configuration_machine.h"
+#include "control/control_members.h"
 #include "control/replica.h"
 #include "wire/control_messages.h"
 
@@ -54,10 +55,6 @@
   runtime_timer part_timer_;
 };
 
-/// Returns the members as other processes learn them. Thread-safe.
-std::vector<control_member> to_control_members(
-    const std::vector<replica_member>& members);
-
 }  // namespace citronwharf
 
 #endif  // CITRONWHARF_CONTROL_CONFIGURATION_SOURCE_H_
--- /dev/null
+++ b/src/control/control_members.h
@@ -0,0 +1,23 @@
+/// Members of the control group as other processes see them.
+#ifndef CITRONWHARF_CONTROL_CONTROL_MEMBERS_H_
+#define CITRONWHARF_CONTROL_CONTROL_MEMBERS_H_
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/control_messages.h"
+#include "wire/log_messages.h"
+
+namespace citronwharf {
+
+/// Returns the group's members as messages carry them. Thread-safe.
+std::vector<control_member> to_control_members(
+    const std::vector<replica_member>& members);
+
+/// Returns the replica ids of the voters. Thread-safe.
+std::set<std::string> voter_ids(const std::vector<control_member>& members);
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_CONTROL_CONTROL_MEMBERS_H_
--- a/src/control/document_cluster.cc
+++ b/src/control/document_cluster.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "control/configuration_source.h"
+#include "control/control_members.h"
 #include "observe/event.h"
 
 namespace citronwharf {
--- a/src/control/document_follower.cc
+++ b/src/control/document_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/control_members.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -16,16 +17,6 @@
 // Polls older than this many are not awaited any more.
 constexpr std::size_t max_polls_known = 64;
 
-std::set<std::string> voter_ids(const std::vector<control_member>& members) {
-  std::set<std::string> ids;
-  for (const control_member& member : members) {
-    if (member.voter) {
-      ids.insert(member.id);
-    }
-  }
-  return ids;
-}
-
 }  // namespace
 
 document_follower::document_follower(boost::asio::io_context& loop,
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -15,6 +15,11 @@
 constexpr double max_retry_after_share = 1.0 / 3;
 // A response at the very deadline would reach the caller after it.
 constexpr duration answer_margin = milliseconds(30);
+// A lost SYN is sent again after a second; another server is nearer than that.
+constexpr duration connect_timeout = milliseconds(150);
+// A kept connection may have been closed by the server without our knowing. A
+// request that can't be repeated takes only one that was used just now.
+constexpr duration max_idle_at_most_once = milliseconds(1500);
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 constexpr int status_caller_left = 499;
@@ -115,6 +120,37 @@
                       request_.deadline - runtime_clock::now()));
 }
 
+pooled_call forward::call_to(const std::string& address) {
+  pooled_call out;
+  out.address = address;
+  out.connect_timeout = connect_timeout;
+  return out;
+}
+
+pooled_call forward::call_for_request(const std::string& address) const {
+  pooled_call out = call_to(address);
+  if (request_.route->repeat == repeatability::at_most_once) {
+    out.max_idle = max_idle_at_most_once;
+  }
+  // A late response to an earlier request may stand before the own one.
+  out.accepts = [id = request_.caller.id,
+                 &codec = environment_.codec](const http_response& head) {
+    const std::string echoed = codec.read_answer(head).request_id;
+    return echoed.empty() || id.empty() || echoed == id;
+  };
+  return out;
+}
+
+void forward::report_end(const std::string& server, std::int64_t tokens,
+                         server_result result) {
+  const auto ejected =
+      environment_.servers.ended(server, tokens, result, runtime_clock::now());
+  if (ejected) {
+    log_event(events::server_ejected, server, to_ms(*ejected),
+              request_.caller.id);
+  }
+}
+
 request_progress forward::progress() const {
   request_progress out;
   out.repeat = request_.route->repeat;
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -90,6 +90,13 @@
   duration time_left() const;
   /// What a server is told of the deadline.
   milliseconds server_deadline() const;
+  /// Returns a call to a server for something beside the request itself.
+  static pooled_call call_to(const std::string& address);
+  /// Returns a call that sends the request to a server.
+  pooled_call call_for_request(const std::string& address) const;
+  /// A request at a server ended: tells the list, and logs an ejection.
+  void report_end(const std::string& server, std::int64_t tokens,
+                  server_result result);
   /// Calls a member function after a span, unless that is cancelled before.
   void arm(runtime_timer& timer, duration span, std::function<void()> expired);
 
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -6,16 +6,10 @@
 #include <utility>
 
 #include "gateway/forward.h"
-#include "observe/event.h"
 
 namespace citronwharf {
 namespace {
 
-// A lost SYN is sent again after a second; another server is nearer than that.
-constexpr duration connect_timeout = milliseconds(150);
-// A kept connection may have been closed by the server without our knowing. A
-// request that can't be repeated takes only one that was used just now.
-constexpr duration max_idle_at_most_once = milliseconds(1500);
 // An idempotent request goes to another server when the first is silent for
 // this many times the latency objective.
 constexpr int silent_objectives = 2;
@@ -69,27 +63,11 @@
     call.instance = server.id;
     call.deadline = server_deadline();
     call_ = environment().pool.start(
-        pooled(server), environment().codec.make_call(request().caller, call),
-        handlers());
+        call_for_request(server.address),
+        environment().codec.make_call(request().caller, call), handlers());
     watch_silence();
   }
 
-  pooled_call pooled(const listed_server& server) {
-    pooled_call out;
-    out.address = server.address;
-    out.connect_timeout = connect_timeout;
-    if (route().repeat == repeatability::at_most_once) {
-      out.max_idle = max_idle_at_most_once;
-    }
-    // A late response to an earlier request may stand before the own one.
-    out.accepts = [id = request().caller.id,
-                   &codec = environment().codec](const http_response& head) {
-      const std::string echoed = codec.read_answer(head).request_id;
-      return echoed.empty() || id.empty() || echoed == id;
-    };
-    return out;
-  }
-
   http_call_handlers handlers() {
     http_call_handlers out;
     out.on_head = [this](const http_response& head) { response_ = head; };
@@ -143,12 +121,7 @@
       return;
     }
     at_server_ = false;
-    const auto ejected = environment().servers.ended(last_server_, 0, result,
-                                                     runtime_clock::now());
-    if (ejected) {
-      log_event(events::server_ejected, last_server_, ejected->count() / 1000,
-                "plain");
-    }
+    report_end(last_server_, 0, result);
   }
 
   void settle(server_result result) {
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -8,14 +8,10 @@
 
 #include "gateway/event_splitter.h"
 #include "gateway/forward.h"
-#include "observe/event.h"
 
 namespace citronwharf {
 namespace {
 
-// A lost SYN is sent again after a second; another engine is nearer than that.
-constexpr duration connect_timeout = milliseconds(150);
-constexpr duration max_idle_at_most_once = milliseconds(1500);
 // A prefill that takes longer than this is asked of another engine: the first
 // event would come too late for the usual objectives.
 constexpr duration prefill_timeout = milliseconds(450);
@@ -132,11 +128,9 @@
     const milliseconds lifetime = std::min(max_lifetime, hold_lifetime);
     hold_until_ = runtime_clock::now() + lifetime;
     at_hold_ = server;
-    pooled_call pooled;
-    pooled.address = server.address;
-    pooled.connect_timeout = connect_timeout;
     hold_call_ = environment().pool.fetch(
-        pooled, environment().codec.take_hold(tokens_, lifetime),
+        call_to(server.address),
+        environment().codec.take_hold(tokens_, lifetime),
         [this](absl::StatusOr<http_response> response, bool /*sent*/) {
           on_hold(std::move(response));
         });
@@ -362,19 +356,9 @@
           static_cast<double>(tokens_) / static_cast<double>(engine_tokens());
       environment().meter.decodes(request().service->name, decoding_);
     }
-    pooled_call pooled;
-    pooled.address = server.address;
-    pooled.connect_timeout = connect_timeout;
-    if (route().repeat == repeatability::at_most_once) {
-      pooled.max_idle = max_idle_at_most_once;
-    }
-    pooled.accepts = [id = request().caller.id,
-                      &codec = environment().codec](const http_response& head) {
-      const std::string echoed = codec.read_answer(head).request_id;
-      return echoed.empty() || id.empty() || echoed == id;
-    };
     call_ = environment().pool.start(
-        pooled, environment().codec.make_call(request().caller, call),
+        call_for_request(server.address),
+        environment().codec.make_call(request().caller, call),
         std::move(handlers));
   }
 
@@ -493,12 +477,7 @@
     environment().meter.decodes(request().service->name,
                                 -std::exchange(decoding_, 0));
     const std::string server = std::exchange(at_server_, "");
-    const auto ejected = environment().servers.ended(server, tokens_, result,
-                                                     runtime_clock::now());
-    if (ejected) {
-      log_event(events::server_ejected, server, ejected->count() / 1000,
-                "stream");
-    }
+    report_end(server, tokens_, result);
   }
 
   // The attempt at the decode engine is over without a whole stream.
@@ -559,11 +538,8 @@
     if (hold_.empty()) {
       return;
     }
-    pooled_call pooled;
-    pooled.address = at_hold_.address;
-    pooled.connect_timeout = connect_timeout;
     // It lapses by itself, so that a lost call is no matter.
-    environment().pool.run_detached(pooled,
+    environment().pool.run_detached(call_to(at_hold_.address),
                                     environment().codec.drop_hold(hold_));
     hold_.clear();
   }
@@ -572,13 +548,11 @@
     if (export_.handle.empty()) {
       return;
     }
-    pooled_call pooled;
-    pooled.address = prefill_.address;
-    pooled.connect_timeout = connect_timeout;
     // The engine frees it by itself before long, so that a lost call is no
     // matter; the pool keeps the call until it ends.
     environment().pool.run_detached(
-        pooled, environment().codec.drop_prefill(export_.handle));
+        call_to(prefill_.address),
+        environment().codec.drop_prefill(export_.handle));
     export_ = {};
   }
 
