Plain requests and generations take a server's answer in one place

The comment above prefill_timeout said another prefill engine reads the prompt; the decode engine does.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -20,6 +20,7 @@
 // A kept connection may have been closed by the server without our knowing. A
 // request that can't be repeated takes only one that was used just now.
 constexpr duration max_idle_at_most_once = milliseconds(1500);
+constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 constexpr int status_caller_left = 499;
@@ -141,6 +142,19 @@
   return out;
 }
 
+server_result forward::take_answer(const server_answer& answer,
+                                   attempt_report& report) {
+  note(fmt::format("answer({},not_run={})", answer.status, answer.not_run));
+  report.sent = true;
+  report.answered = true;
+  report.not_run = answer.not_run;
+  report.status = answer.status;
+  if (answer.status == status_misdirected) {
+    environment_.servers.distrust(last_server_, runtime_clock::now());
+  }
+  return answer.not_run ? server_result::refused : server_result::served;
+}
+
 void forward::report_end(const std::string& server, std::int64_t tokens,
                          server_result result) {
   const auto ejected =
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -94,6 +94,10 @@
   static pooled_call call_to(const std::string& address);
   /// Returns a call that sends the request to a server.
   pooled_call call_for_request(const std::string& address) const;
+  /// Takes a whole response of the last server into the report of the attempt.
+  /// Returns how the request at the server ended.
+  server_result take_answer(const server_answer& answer,
+                            attempt_report& report);
   /// A request at a server ended: tells the list, and logs an ejection.
   void report_end(const std::string& server, std::int64_t tokens,
                   server_result result);
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -103,16 +103,7 @@
       environment().servers.reported(last_server_, *answer.load,
                                      runtime_clock::now());
     }
-    note(fmt::format("answer({},not_run={})", answer.status, answer.not_run));
-    report_.sent = true;
-    report_.answered = true;
-    report_.not_run = answer.not_run;
-    report_.status = answer.status;
-    constexpr int misdirected = 421;
-    if (answer.status == misdirected) {
-      environment().servers.distrust(last_server_, runtime_clock::now());
-    }
-    settle(answer.not_run ? server_result::refused : server_result::served);
+    settle(take_answer(answer, report_));
   }
 
   void end_call(server_result result) {
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -12,8 +12,8 @@
 namespace citronwharf {
 namespace {
 
-// A prefill that takes longer than this is asked of another engine: the first
-// event would come too late for the usual objectives.
+// After this the decode engine reads the prompt itself: the first event would
+// come too late for the usual objectives.
 constexpr duration prefill_timeout = milliseconds(450);
 // A KV cache this near to its end isn't worth a transfer.
 constexpr duration export_margin = milliseconds(120);
@@ -458,15 +458,7 @@
       return;
     }
     const server_answer answer = environment().codec.read_answer(head_);
-    note(fmt::format("answer({},not_run={})", answer.status, answer.not_run));
-    report_.answered = true;
-    report_.not_run = answer.not_run;
-    report_.status = answer.status;
-    constexpr int misdirected = 421;
-    if (answer.status == misdirected) {
-      environment().servers.distrust(last_server_, runtime_clock::now());
-    }
-    settle(answer.not_run ? server_result::refused : server_result::served);
+    settle(take_answer(answer, report_));
   }
 
   void end_call(server_result result) {
