One gateway reads the list of servers for all of them

Ruled out: a longer interval, since servers that leave must get no work after a few seconds, of which the lag takes one.

Change: the leader reads every 0.6 s and tells the others whether the list has changed; who hears nothing for 1.3 s reads by itself. Entries that can't be read are logged when their number changes; before, the log said 0 whatever it was.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -52,7 +52,10 @@
   milliseconds deadline{0};  ///< what is left of it
   generation_stage stage = generation_stage::whole;
   std::string kv_source;  ///< "ip:port/handle" to fetch the KV cache from
-  std::string hold;       ///< id of reserved memory, "" without
+  /// "ip:port" of an engine that may keep parts of the prompt, to fetch them
+  /// from; "" without.
+  std::string cache_source;
+  std::string hold;  ///< id of reserved memory, "" without
   std::optional<std::int64_t> last_event;  ///< the stream goes on after this
   std::optional<int> priority;             ///< 0 is first
 };
@@ -82,6 +85,9 @@
 CITRONWHARF_VALUE(exported_prefill, handle, tokens)
 
 enum class engine_stage { none, prefill, decode };
+NLOHMANN_JSON_SERIALIZE_ENUM(engine_stage, {{engine_stage::none, "none"},
+                                            {engine_stage::prefill, "prefill"},
+                                            {engine_stage::decode, "decode"}})
 
 /// What an engine tells of itself on request.
 struct engine_report {
@@ -109,8 +115,8 @@
   bool leaving = false;
   engine_stage stage = engine_stage::none;
 };
-bool operator==(const listed_server& lhs, const listed_server& rhs);
-bool operator!=(const listed_server& lhs, const listed_server& rhs);
+CITRONWHARF_VALUE(listed_server, id, service, address, failure_domain, slots,
+                  leaving, stage)
 
 /// One page of the directory.
 struct directory_page {
--- a/src/gateway/directory_reader.cc
+++ b/src/gateway/directory_reader.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr duration call_timeout = milliseconds(900);
-constexpr double interval_jitter = 0.15;  // share of the interval
 // A list that doesn't end is no list.
 constexpr std::size_t max_pages = 200;
 constexpr int status_ok = 200;
@@ -19,27 +18,21 @@
 
 directory_reader::directory_reader(boost::asio::io_context& loop,
                                    const gateway_codec& codec, http_pool& pool,
-                                   directory_reader_options options,
-                                   std::uint64_t seed)
-    : codec_(codec),
-      pool_(pool),
-      options_(std::move(options)),
-      timer_(loop),
-      random_(seed) {}
+                                   std::string address)
+    : codec_(codec), pool_(pool), address_(std::move(address)), timer_(loop) {}
 
 directory_reader::~directory_reader() = default;
 
-void directory_reader::start(list_handler on_list) {
+void directory_reader::read(list_handler on_list) {
   on_list_ = std::move(on_list);
+  call_.reset();
+  servers_.clear();
+  unreadable_ = 0;
+  pages_ = 0;
   read_page("");
 }
 
 void directory_reader::read_page(const std::string& token) {
-  if (token.empty()) {
-    servers_.clear();
-    unreadable_ = 0;
-    pages_ = 0;
-  }
   ++pages_;
   timer_.expires_after(call_timeout);
   timer_.async_wait([this](boost::system::error_code error) {
@@ -49,7 +42,7 @@
     }
   });
   pooled_call call;
-  call.address = options_.address;
+  call.address = address_;
   call.connect_timeout = call_timeout;
   call_ =
       pool_.fetch(call, codec_.list_servers(token),
@@ -79,8 +72,10 @@
     return;
   }
   lost_ = false;
-  read_at_ = runtime_clock::now();
-  schedule();
+  if (unreadable_ != unreadable_logged_) {
+    unreadable_logged_ = unreadable_;
+    log_event(events::directory_unreadable, unreadable_);
+  }
   on_list_(servers_);
 }
 
@@ -89,19 +84,6 @@
     log_event(events::directory_lost, reason);
   }
   lost_ = true;
-  schedule();
-}
-
-void directory_reader::schedule() {
-  std::uniform_real_distribution<double> spread(1 - interval_jitter,
-                                                1 + interval_jitter);
-  timer_.expires_after(std::chrono::duration_cast<duration>(options_.interval *
-                                                            spread(random_)));
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) {
-      read_page("");
-    }
-  });
 }
 
 }  // namespace citronwharf
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -9,7 +9,7 @@
 
 #include "gateway/admission_filter.h"
 #include "gateway/allowance_client.h"
-#include "gateway/directory_reader.h"
+#include "gateway/directory_share.h"
 #include "gateway/forward.h"
 #include "gateway/operator_api.h"
 #include "gateway/stage_controller.h"
@@ -46,10 +46,9 @@
   return out;
 }
 
-directory_reader_options make_directory_options(const gateway_settings& in) {
-  directory_reader_options out;
-  out.address = in.directory;
-  out.interval = milliseconds(in.directory_interval_ms);
+directory_turn_options make_directory_options(const gateway_settings& in) {
+  directory_turn_options out;
+  out.own_interval = milliseconds(in.directory_interval_ms);
   return out;
 }
 
@@ -65,9 +64,8 @@
         cluster_(process),
         allowances_(process.loop, process.peers, cluster_,
                     [this](const std::string& name) { return limit_of(name); }),
-        directory_(process.loop, codec_, pool_,
-                   make_directory_options(process.options.gateway),
-                   process.incarnation),
+        directory_(process, cluster_, codec_, pool_,
+                   make_directory_options(process.options.gateway)),
         placement_(process, cluster_),
         stages_(process, cluster_, codec_, pool_, servers_, placement_,
                 [this] { return engine_profiles(); }),
@@ -127,7 +125,7 @@
   retry_budget budget_;
   document_cluster cluster_;
   allowance_client allowances_;
-  directory_reader directory_;
+  directory_share directory_;
   placement_client placement_;
   stage_controller stages_;
   std::shared_ptr<const routing_table> table_;
@@ -206,7 +204,7 @@
   directory_.start([this](const std::vector<listed_server>& listed) {
     placement_.set_engines(listed);
     if (servers_.replace(listed)) {
-      log_event(events::directory_read, servers_.size(), servers_.leaving(), 0);
+      log_event(events::directory_read, servers_.size(), servers_.leaving());
     }
   });
   started = cluster_.start(
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -19,16 +19,6 @@
 
 }  // namespace
 
-bool operator==(const listed_server& lhs, const listed_server& rhs) {
-  return lhs.id == rhs.id && lhs.service == rhs.service &&
-         lhs.address == rhs.address &&
-         lhs.failure_domain == rhs.failure_domain && lhs.slots == rhs.slots &&
-         lhs.leaving == rhs.leaving && lhs.stage == rhs.stage;
-}
-bool operator!=(const listed_server& lhs, const listed_server& rhs) {
-  return !(lhs == rhs);
-}
-
 server_list::server_list(server_list_options options, std::uint64_t seed)
     : options_(std::move(options)), random_(seed) {}
 
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -6,6 +6,7 @@
 #include "control/key.h"
 #include "gateway/admission_filter.h"
 #include "gateway/attempt_policy.h"
+#include "gateway/directory_share.h"
 #include "gateway/event_splitter.h"
 #include "gateway/fleet_allowance.h"
 #include "gateway/forward.h"
@@ -375,6 +376,65 @@
   }
 }
 
+// Load: 27 processes before a directory that takes few calls a second.
+BOOST_AUTO_TEST_CASE(one_process_reads_the_directory_for_all) {
+  directory_turn leader({});
+  directory_turn follower({});
+  int leader_reads = 0;
+  int follower_reads = 0;
+  const time_point lost = start + seconds(10);
+  time_point longest_without_news = start;
+  duration longest{};
+  for (time_point now = start; now < start + seconds(20);
+       now += milliseconds(50)) {
+    if (now < lost && leader.pause(true, now) == duration{}) {
+      leader.reads(now);
+      ++leader_reads;
+      follower.heard(now);
+      longest_without_news = now;
+    }
+    if (follower.pause(false, now) == duration{}) {
+      follower.reads(now);
+      ++follower_reads;
+      longest_without_news = now;
+    }
+    longest = std::max(longest, now - longest_without_news);
+  }
+  BOOST_TEST(leader_reads >= 16);
+  // Only after the leader was lost, and often enough to learn of a server that
+  // leaves within two seconds.
+  BOOST_TEST(follower_reads >= 7);
+  BOOST_TEST(follower_reads <= 9);
+  BOOST_TEST(longest.count() <= duration(milliseconds(1350)).count());
+}
+
+// An engine that goes on failing is tried less and less often.
+BOOST_AUTO_TEST_CASE(failed_trials_lengthen_an_ejection) {
+  const ejection_options options;
+  ejection state;
+  time_point now = start;
+  BOOST_REQUIRE(state.failed(true, options, now).has_value());
+  // What was under way at the first failure changes nothing.
+  BOOST_TEST(!state.failed(true, options, now).has_value());
+  duration last{};
+  int trials = 0;
+  for (; now < start + seconds(20); now += milliseconds(10)) {
+    if (state.holds(now)) {
+      continue;
+    }
+    state.tried(options, now);
+    BOOST_TEST(state.holds(now));
+    const auto span = state.failed(true, options, now);
+    BOOST_REQUIRE(span.has_value());
+    BOOST_TEST((*span > last || *span == options.max));
+    last = *span;
+    ++trials;
+  }
+  BOOST_TEST(trials <= 8);
+  state.restore();
+  BOOST_TEST(!state.holds(now));
+}
+
 // Load: prompts of 0.09 s and answers of 3 s, at 18 engines of which six
 // prefill. Decode memory runs out while prefill engines idle.
 BOOST_AUTO_TEST_CASE(idle_prefill_engines_are_moved_to_decode) {
