A retry fetches the prompt from an engine that has read it

Cause: after a lost answer or a broken stream the next engine read the whole prompt anew. Ruled out: the same engine once more, which is as likely to lose its answer again.

Change: a further attempt names the engine that has read the prompt, and the next one fetches what that one keeps.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -182,6 +182,7 @@
     exported_at_ = runtime_clock::now();
     search_.observe_prefill(prefill_.id, export_.tokens,
                             exported_at_ - prefill_started_);
+    cached_at_ = prefill_;
     note(fmt::format("prefilled({} tokens)", export_.tokens));
     start_decode();
   }
@@ -213,6 +214,8 @@
     server_call call;
     if (!export_.handle.empty()) {
       call.kv_source = fmt::format("{}/{}", prefill_.address, export_.handle);
+    } else if (cached_at_.id != server.id) {
+      call.cache_source = cached_at_.address;
     }
     if (runtime_clock::now() + hold_margin < engines_.hold_until) {
       call.hold = search_.take_hold();
@@ -220,7 +223,9 @@
     call.last_event = last_event_;
     held_ = !call.hold.empty();
     note(fmt::format("decode({},kv={})", server.id,
-                     export_.handle.empty() ? "own" : prefill_.id));
+                     !export_.handle.empty()      ? prefill_.id
+                     : !call.cache_source.empty() ? cached_at_.id
+                                                  : "own"));
     start_call(server, call, decode_handlers());
     watch(streaming_ ? resume_timeout : first_event_timeout);
   }
@@ -285,6 +290,9 @@
       environment().servers.answers(last_server_);
       search_.observe(last_server_, engine_sign::answers);
       response_begun_ = true;
+      if (cached_at_.id.empty()) {
+        cached_at_ = engines_.decode;
+      }
       // Whatever the engine fetched, it has now.
       export_ = {};
     }
@@ -459,7 +467,8 @@
   time_point prefill_started_{};
   exported_prefill export_;  // handle "" without one
   time_point exported_at_{};
-  bool held_ = false;  // memory, for the present attempt
+  listed_server cached_at_;  // an engine that has read the prompt, or none
+  bool held_ = false;        // memory, for the present attempt
   attempt_report report_;
   http_response head_;
   std::string error_body_;
--- a/test/gateway-system-test.cc
+++ b/test/gateway-system-test.cc
@@ -2,6 +2,7 @@
 // servers, its operator, its callers and its balancer.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -308,6 +309,18 @@
   const http_response resumed = call(callers, prompt_to("/r/1"));
   BOOST_TEST(resumed.body == event(1) + event(2) + event(3) + event(4));
   BOOST_TEST(broken == 2);
+  // The prompt is fetched from the engine that has read it, not read again.
+  std::vector<std::string> fetched_from;
+  for (const stand_in_server* each : {&decode, &other_decode}) {
+    for (const http_request& request : each->seen) {
+      if (request.target == "/r/1") {
+        fetched_from.push_back(find_header(request.headers, "Kv-Fetch"));
+      }
+    }
+  }
+  std::sort(fetched_from.begin(), fetched_from.end());
+  BOOST_TEST(fetched_from == (std::vector<std::string>{"", prefill.address()}),
+             boost::test_tools::per_element());
   // One that may not be resumed must not look complete.
   broken = 0;
   BOOST_TEST(call(callers, prompt_to("/s/1")).status == 0);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -28,7 +28,7 @@
     "services": [
       {"name": "models", "healthPath": "/health", "maxConns": 650,
        "engine": {"slots": 128, "kvTokens": 67402, "kvBytes": 18432,
-                  "netMbps": 550000.0, "handleS": 0.5, "switchS": 6.0,
+                  "netMbps": 550000.0, "handleS": 0.5, "switchS": 6.0, "stride": 12,
                   "holdMs": 2000.0}},
       {"name": "desk", "healthPath": "/health", "maxConns": 130}],
     "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000000,
@@ -58,6 +58,8 @@
                 {"Citronwharf-Pin-Ms", "1"},
                 {"Citronwharf-Kv-Source", "forged"},
                 {"Citronwharf-Kv-Backup", "forged"},
+                {"Kv-Fetch", "forged"},
+                {"Citronwharf-Length-Hint", "64"},
                 {"Citronwharf-Stage", "forged"},
                 {"Last-Event-Id", "12"}};
   return in;
@@ -77,6 +79,7 @@
   BOOST_TEST((read->routes[3].repeat == repeatability::idempotent));
   BOOST_TEST(read->services[0].engine->export_lifetime_ms == 500);
   BOOST_TEST(read->services[0].engine->switch_ms == 6000);
+  BOOST_TEST(read->services[0].engine->tokens_per_event == 12);
   BOOST_TEST(!read->services[1].engine.has_value());
   BOOST_TEST(read->organisations[0].key_digests[1] == digest_of("k2"));
   BOOST_TEST(read->organisations[0].tokens_per_plain_request == 200);
@@ -118,6 +121,7 @@
   BOOST_TEST(read.path == "/s/2f");
   BOOST_TEST(*read.prompt_tokens == 1460);
   BOOST_TEST(*read.max_output_tokens == 80);
+  BOOST_TEST(*read.expected_output_tokens == 64);
   BOOST_TEST(read.prompt.size() == 2U);
   BOOST_TEST(*read.last_event == 12);
   server_call call;
@@ -125,6 +129,7 @@
   call.instance = "i-1";
   call.deadline = milliseconds(900);
   call.last_event = 15;
+  call.cache_source = "10.0.0.7:80";
   const http_request sent = platform::make_call(read, call);
   BOOST_TEST(sent.method == "POST");
   BOOST_TEST(sent.target == "/s/2f?x=1");
@@ -142,6 +147,8 @@
       {"Citronwharf-Tenant", "t1"},
       {"Citronwharf-Expect-Instance", "i-1"},
       {"Citronwharf-Deadline-Ms", "900"},
+      {"Kv-Fetch", "10.0.0.7:80"},
+      {"Citronwharf-Length-Hint", "64"},
       {"Citronwharf-Hold", ""},
       {"Citronwharf-Pin-Ms", ""},
       {"Citronwharf-Kv-Source", ""},
