Outliers among servers are found from what all gateways see

Each gateway alone saw a few, and an answer with an error counted as served.

Change: gateways report outcomes by server to the leader, lost ones at once; the leader names a server that is worse than its peers by more than chance, keeps more than half in use, and doubles the span each time. A request that fails at two servers blames neither. Ejections count a success as half a failure made good, so that an engine that fails two requests in five goes in the end.

--- a/src/gateway/ejection.h
+++ b/src/gateway/ejection.h
@@ -17,9 +17,11 @@
   /// After an ejection one request tries the server; others wait this long for
   /// its result.
   duration trial = milliseconds(500);
-  /// Failures in a row after which a server is ejected. One failure may be the
-  /// request's own.
-  int failures = 2;
+  /// Failures from which on a server is ejected. One may be the request's own.
+  double failures = 2;
+  /// Part of a failure that a success makes good: a server that fails more than
+  /// a third of its requests is ejected before long.
+  double success_credit = 0.5;
 };
 
 /// The state of one server. No clock of its own. One thread.
@@ -57,12 +59,22 @@
     return span_;
   }
 
-  /// The server answers: what it failed before no longer counts.
-  void restore() { *this = ejection{}; }
+  /// A request was served there.
+  void served(const ejection_options& options) {
+    failures_ = std::max(
+        0.0, std::min(failures_, options.failures) - options.success_credit);
+    if (trial_) {
+      trial_ = false;
+      until_ = time_point{};
+    }
+    if (failures_ == 0) {
+      span_ = duration{};
+    }
+  }
 
  private:
-  int failures_ = 0;    // in a row
-  bool trial_ = false;  // one request tries the server
+  double failures_ = 0;  // less what successes made good
+  bool trial_ = false;   // one request tries the server
   duration span_{};
   time_point until_{};
 };
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -128,6 +128,14 @@
   return of.refused.count(in.prompt) != 0;
 }
 
+void engine_scheduler::leave_alone(const std::string& engine, duration span,
+                                   time_point now) {
+  const auto found = engines_.find(engine);
+  if (found != engines_.end()) {
+    found->second.outlier_until = now + span;
+  }
+}
+
 void engine_scheduler::ask(const std::string& process, const placement_ask& in,
                            time_point now) {
   service& of = service_named(in.service);
@@ -226,10 +234,10 @@
   switch (in.sign) {
     case engine_sign::prefilled:
       take_speed(at, in);
-      at.ejected.restore();
+      at.ejected.served(options_.eject);
       return std::nullopt;
     case engine_sign::answers:
-      at.ejected.restore();
+      at.ejected.served(options_.eject);
       return std::nullopt;
     case engine_sign::full:
       at.full_until = now + options_.full_lifetime;
@@ -339,6 +347,11 @@
   return peak;
 }
 
+bool engine_scheduler::usable(const engine& in, time_point now) {
+  return now >= in.switching_until && now >= in.outlier_until &&
+         !in.ejected.holds(now);
+}
+
 // The engine with the least in use comes first: streams of small batches are
 // faster, and there is room for outputs beyond what was expected.
 engine_scheduler::engine* engine_scheduler::choose_decode(
@@ -348,9 +361,8 @@
       static_cast<double>(memory_limit(of)) * options_.memory_share;
   for (auto& [id, each] : engines_) {
     if (each.listed.service != ask.service || each.listed.leaving ||
-        each.listed.stage != engine_stage::decode ||
-        now < each.switching_until || now < each.full_until ||
-        each.ejected.holds(now) || is_excluded(ask, id)) {
+        each.listed.stage != engine_stage::decode || now < each.full_until ||
+        !usable(each, now) || is_excluded(ask, id)) {
       continue;
     }
     const auto slots =
@@ -383,8 +395,7 @@
   duration best_cost = best.wait + options_.own_prefill_penalty;
   for (auto& [id, each] : engines_) {
     if (each.listed.service != ask.service || each.listed.leaving ||
-        each.listed.stage != engine_stage::prefill ||
-        now < each.switching_until || each.ejected.holds(now) ||
+        each.listed.stage != engine_stage::prefill || !usable(each, now) ||
         each.exports.holds(now) || is_excluded(ask, id)) {
       continue;
     }
@@ -621,8 +632,7 @@
         continue;
       }
       entry.running += each.leases.size();
-      if (each.listed.leaving || now < each.switching_until ||
-          each.ejected.holds(now)) {
+      if (each.listed.leaving || !usable(each, now)) {
         ++entry.unusable;
       } else if (each.listed.stage == engine_stage::prefill) {
         ++entry.prefill;
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -92,6 +92,9 @@
   /// An engine switches its stage and takes nothing for a while.
   void switching(const std::string& engine, duration span, time_point now);
 
+  /// The fleet found that the engine fails requests.
+  void leave_alone(const std::string& engine, duration span, time_point now);
+
   void ask(const std::string& process, const placement_ask& in, time_point now);
   /// The generation ended, or its caller left while it waited.
   void release(const std::string& process, const placement_release& in,
@@ -133,6 +136,7 @@
     ejection exports;  // ejected as the source of KV caches
     time_point full_until{};
     time_point switching_until{};
+    time_point outlier_until{};
   };
   struct waiting_ask {
     std::string process;
@@ -169,6 +173,7 @@
   double used(const service& of, const engine& in, time_point now) const;
   double peak_with(const service& of, const engine& in,
                    const placement_ask& ask, time_point now) const;
+  static bool usable(const engine& in, time_point now);
   engine* choose_decode(const service& of, const placement_ask& ask,
                         time_point now);
   prefill_choice choose_prefill(const service& of, const engine& decode,
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -157,11 +157,32 @@
   if (answer.status == status_misdirected) {
     environment_.servers.distrust(last_server_, runtime_clock::now());
   }
-  return answer.not_run ? server_result::refused : server_result::served;
+  if (answer.not_run) {
+    return server_result::refused;
+  }
+  constexpr int first_server_error = 500;
+  return answer.status >= first_server_error ? server_result::error
+                                             : server_result::served;
 }
 
 void forward::report_end(const std::string& server, std::int64_t tokens,
                          server_result result) {
+  switch (result) {
+    case server_result::served:
+      environment_.health.good(server);
+      break;
+    case server_result::refused:
+      environment_.health.refused(server);
+      break;
+    case server_result::failed:
+    case server_result::unreachable:
+    case server_result::timed_out:
+      environment_.health.lost(server);
+      break;
+    case server_result::error:
+    case server_result::abandoned:
+      break;
+  }
   const auto ejected =
       environment_.servers.ended(server, tokens, result, runtime_clock::now());
   if (ejected) {
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -13,6 +13,7 @@
 
 #include "gateway/attempt_policy.h"
 #include "gateway/codec.h"
+#include "gateway/health_share.h"
 #include "gateway/memory_queue.h"
 #include "gateway/placement_client.h"
 #include "gateway/retry_budget.h"
@@ -32,6 +33,7 @@
   retry_budget& budget;
   metric_registry& metrics;
   placement_client& placement;
+  health_share& health;
   std::map<std::string, memory_queue>& memory_queues;  ///< by service
   std::mt19937_64& random;
   std::string failure_domain;              ///< of this process
@@ -101,7 +103,8 @@
   /// Returns how the request at the server ended.
   server_result take_answer(const server_answer& answer,
                             attempt_report& report);
-  /// A request at a server ended: tells the list, and logs an ejection.
+  /// A request at a server ended: tells the list and the fleet, and logs an
+  /// ejection.
   void report_end(const std::string& server, std::int64_t tokens,
                   server_result result);
   /// Calls a member function after a span, unless that is cancelled before.
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -67,6 +67,7 @@
         directory_(process, cluster_, codec_, pool_,
                    make_directory_options(process.options.gateway)),
         placement_(process, cluster_),
+        health_(process, cluster_, [this] { return servers_.all(); }),
         stages_(process, cluster_, codec_, pool_, servers_, placement_,
                 [this] { return engine_profiles(); }),
         table_(std::make_shared<const routing_table>(gateway_configuration{})),
@@ -77,6 +78,7 @@
                      budget_,
                      process.metrics,
                      placement_,
+                     health_,
                      memory_queues_,
                      random_,
                      process.options.failure_domain,
@@ -104,6 +106,7 @@
                       http_server::handler handler);
   absl::Status listen_for_callers();
   void take_document(const published_document& in);
+  void leave_alone(const outlier_notice& in);
   void handle(http_request message, std::unique_ptr<http_exchange> exchange);
   void filter(admitted_request request);
   void allow(admitted_request request, const gateway_organisation& of);
@@ -127,6 +130,7 @@
   allowance_client allowances_;
   directory_share directory_;
   placement_client placement_;
+  health_share health_;
   stage_controller stages_;
   std::shared_ptr<const routing_table> table_;
   std::map<std::string, memory_queue> memory_queues_;
@@ -211,6 +215,7 @@
       [this](const published_document& in) { take_document(in); });
   if (started.ok()) {
     placement_.start();
+    health_.start([this](const outlier_notice& in) { leave_alone(in); });
     stages_.start();
   }
   return started;
@@ -233,6 +238,12 @@
                        static_cast<double>(in.version));
 }
 
+void gateway_role::leave_alone(const outlier_notice& in) {
+  const duration span = milliseconds(in.span_ms);
+  servers_.leave_alone(in.server, span, runtime_clock::now());
+  placement_.leave_alone(in.server, span);
+}
+
 allowance gateway_role::limit_of(const std::string& organisation) const {
   const gateway_organisation* found = table_->organisation_named(organisation);
   return found == nullptr
--- /dev/null
+++ b/src/gateway/health_share.cc
@@ -0,0 +1,97 @@
+#include "gateway/health_share.h"
+
+#include <utility>
+
+#include "observe/event.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr duration interval = milliseconds(250);
+
+}  // namespace
+
+health_share::health_share(process_context& process, document_cluster& cluster,
+                           listed_servers listed)
+    : process_(process),
+      cluster_(cluster),
+      listed_(std::move(listed)),
+      detector_(outlier_options{}),
+      timer_(process.loop) {}
+
+health_share::~health_share() {
+  *alive_ = false;
+}
+
+void health_share::start(notice_handler on_notice) {
+  on_notice_ = std::move(on_notice);
+  process_.peers.on<outcome_report>(
+      [this, alive = alive_](const peer_id& /*from*/,
+                             const outcome_report& in) {
+        if (*alive) {
+          take(in);
+        }
+      });
+  process_.peers.on<outlier_notice>(
+      [this, alive = alive_](const peer_id& /*from*/,
+                             const outlier_notice& in) {
+        if (*alive) {
+          on_notice_(in);
+        }
+      });
+  schedule();
+}
+
+server_outcomes& health_share::seen(const std::string& server) {
+  server_outcomes& out = seen_[server];
+  out.server = server;
+  return out;
+}
+
+void health_share::lost(const std::string& server) {
+  ++seen(server).lost;
+  report();
+}
+
+void health_share::report() {
+  if (seen_.empty()) {
+    return;
+  }
+  outcome_report out;
+  for (auto& [server, counts] : seen_) {
+    out.servers.push_back(std::move(counts));
+  }
+  seen_.clear();
+  // A report that is lost is one of many.
+  process_.peers.send(cluster_.follower().leader(), make_frame(out))
+      .IgnoreError();
+}
+
+void health_share::take(const outcome_report& in) {
+  const bool leads = cluster_.leads();
+  if (leads && !led_) {
+    detector_.reset();
+  }
+  led_ = leads;
+  if (!leads) {
+    return;
+  }
+  const time_point now = runtime_clock::now();
+  detector_.take(in, now);
+  for (const outlier_notice& each : detector_.decide(listed_(), now)) {
+    log_event(events::outlier_found, each.server, each.reason, each.span_ms);
+    cluster_.tell_everyone(each);
+  }
+}
+
+void health_share::schedule() {
+  timer_.expires_after(interval);
+  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
+    if (!error && *alive) {
+      report();
+      schedule();
+    }
+  });
+}
+
+}  // namespace citronwharf
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -125,6 +125,10 @@
   scheduler_.switching(engine, span, runtime_clock::now());
 }
 
+void placement_client::leave_alone(const std::string& engine, duration span) {
+  scheduler_.leave_alone(engine, span, runtime_clock::now());
+}
+
 engine_load placement_client::load(const std::string& service) {
   return scheduler_.load(service, runtime_clock::now());
 }
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -10,8 +10,8 @@
 namespace citronwharf {
 namespace {
 
-// An idempotent request goes to another server when the first is silent for
-// this many times the latency objective.
+// A server that is silent for this many times the latency objective may be ill:
+// an idempotent request goes to another one.
 constexpr int silent_objectives = 2;
 
 class plain_forward final : public forward {
@@ -85,12 +85,13 @@
   void watch_silence() {
     const bool may_go_elsewhere = route().repeat == repeatability::idempotent &&
                                   servers_run_ + 1 < route().max_servers;
-    if (!may_go_elsewhere) {
-      return;
-    }
     arm(silence_, milliseconds(route().objective_ms * silent_objectives),
-        [this] {
+        [this, may_go_elsewhere] {
           note("silent");
+          if (!may_go_elsewhere) {
+            environment().health.lost(last_server_);
+            return;
+          }
           report_.sent = true;
           call_.reset();
           settle(server_result::timed_out);
@@ -103,7 +104,13 @@
       environment().servers.reported(last_server_, *answer.load,
                                      runtime_clock::now());
     }
-    settle(take_answer(answer, report_));
+    const server_result result = take_answer(answer, report_);
+    if (result == server_result::error) {
+      failed_at_.push_back(last_server_);
+    } else if (result == server_result::served) {
+      blame_servers();
+    }
+    settle(result);
   }
 
   void end_call(server_result result) {
@@ -115,6 +122,14 @@
     report_end(last_server_, 0, result);
   }
 
+  // What failed at one server and not at another was not the request's fault.
+  void blame_servers() {
+    for (const std::string& server : failed_at_) {
+      environment().health.error(server);
+    }
+    failed_at_.clear();
+  }
+
   void settle(server_result result) {
     boost::system::error_code ignored;
     silence_.cancel(ignored);
@@ -146,6 +161,9 @@
     constexpr int bad_gateway = 502;
     switch (next) {
       case verdict::deliver:
+        if (failed_at_.size() == 1) {
+          blame_servers();
+        }
         deliver(std::move(response_), "answered");
         break;
       case verdict::refuse_not_run:
@@ -161,6 +179,7 @@
   runtime_timer silence_;
   std::unique_ptr<http_call> call_;
   bool at_server_ = false;
+  std::vector<std::string> failed_at_;  // servers that answered with errors
   attempt_report report_;
   http_response response_;
 };
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -77,7 +77,7 @@
   if (is_full(state, need, now)) {
     cost += full_cost;
   }
-  if (state.ejected.holds(now)) {
+  if (state.ejected.holds(now) || now < state.outlier_until) {
     cost += ejected_cost;
   }
   std::uniform_real_distribution<double> noise(0, tie_break);
@@ -139,8 +139,9 @@
   state.tokens = std::max<std::int64_t>(0, state.tokens - tokens);
   switch (result) {
     case server_result::served:
+    case server_result::error:
     case server_result::refused:
-      state.ejected.restore();
+      state.ejected.served(options_.eject);
       return std::nullopt;
     case server_result::abandoned:
       return std::nullopt;
@@ -156,7 +157,7 @@
 void server_list::answers(const std::string& id) {
   const auto found = servers_.find(id);
   if (found != servers_.end()) {
-    found->second.ejected.restore();
+    found->second.ejected.served(options_.eject);
   }
 }
 
@@ -175,6 +176,23 @@
   }
 }
 
+void server_list::leave_alone(const std::string& id, duration span,
+                              time_point now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    found->second.outlier_until = now + span;
+  }
+}
+
+std::vector<listed_server> server_list::all() const {
+  std::vector<listed_server> out;
+  out.reserve(servers_.size());
+  for (const auto& [id, state] : servers_) {
+    out.push_back(state.listed);
+  }
+  return out;
+}
+
 std::vector<listed_server> server_list::of_service(
     const std::string& service) const {
   std::vector<listed_server> out;
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -49,6 +49,7 @@
 /// How a request at a server ended.
 enum class server_result {
   served,       ///< any whole response that is no failure of the server
+  error,        ///< a whole response that is one
   refused,      ///< stated that it ran nothing
   failed,       ///< reset or broke off
   unreachable,  ///< no connection
@@ -83,6 +84,9 @@
   void refused(const std::string& id, time_point now);
   /// The engine switches its stage and takes nothing for a while.
   void switching(const std::string& id, duration span, time_point now);
+  /// The fleet found that the server fails requests.
+  void leave_alone(const std::string& id, duration span, time_point now);
+  std::vector<listed_server> all() const;
   /// Returns the servers of a service.
   std::vector<listed_server> of_service(const std::string& service) const;
   /// A response told the load.
@@ -100,6 +104,7 @@
     time_point full_until{};
     time_point switching_until{};
     ejection ejected;
+    time_point outlier_until{};
   };
 
   double cost(const server_state& state, const server_need& need,
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -351,7 +351,12 @@
       return;
     }
     const server_answer answer = environment().codec.read_answer(head_);
-    settle(take_answer(answer, report_));
+    const server_result result = take_answer(answer, report_);
+    if (result == server_result::error) {
+      environment().health.error(last_server_);
+      search_.observe(last_server_, engine_sign::failed);
+    }
+    settle(result);
   }
 
   void end_call(server_result result) {
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -431,10 +431,39 @@
     ++trials;
   }
   BOOST_TEST(trials <= 8);
-  state.restore();
+  // A trial that is served lets it back.
+  now += options.max;
+  state.tried(options, now);
+  BOOST_TEST(state.holds(now));
+  state.served(options);
   BOOST_TEST(!state.holds(now));
 }
 
+// Load: an engine that fails two requests in five, a few a second.
+BOOST_AUTO_TEST_CASE(a_server_that_fails_often_is_ejected_in_the_end) {
+  const ejection_options options;
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    const auto requests_until_ejected = [&](double share) {
+      ejection state;
+      for (int sent = 1; sent <= 200; ++sent) {
+        if (std::uniform_real_distribution<double>(0, 1)(random) < share) {
+          if (state.failed(false, options, start)) {
+            return sent;
+          }
+        } else {
+          state.served(options);
+        }
+      }
+      return 200;
+    };
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      BOOST_TEST(requests_until_ejected(0.5) <= 40);
+      BOOST_TEST(requests_until_ejected(0.4) <= 80);
+    }
+  }
+}
+
 // Load: prompts of 0.09 s and answers of 3 s, at 18 engines of which six
 // prefill. Decode memory runs out while prefill engines idle.
 BOOST_AUTO_TEST_CASE(idle_prefill_engines_are_moved_to_decode) {
