Waits for engines are bounded by the first event; one own prompt at a time

Cause: a generation that got its memory within the bound still met a queue at the prefill engines and came late; 155 of 1964 streams paused for over 300 ms where a decode engine read two prompts itself; callers that came back waited 1.7 s to be refused, since fresh requests went on arriving.

Ruled out: telling what waits in the fair queue its place again and again; its place among the organisations is not known ahead.

Change: the bound is on the first event and counts the queue at the prefill engines; a decode engine reads one prompt at a time where another one can take it; the wait of callers that come back counts on fresh arrivals; Retry-After is spread over a tenth to a third of the time left. The trail has the longest gap of a stream.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -18,7 +18,9 @@
 constexpr std::int64_t min_metered_prompt = 1500;
 // An engine that is this much slower than predicted is no better than silent.
 constexpr double max_slowness = 8;
-constexpr duration prompt_window = seconds(2);
+constexpr duration arrival_window = seconds(1);
+// Engines that have room from which one is chosen.
+constexpr std::size_t max_choices = 6;
 // Without any release in sight.
 constexpr duration long_wait = seconds(10);
 
@@ -145,8 +147,10 @@
   if (in.turn == placement_class::under_way) {
     of.under_way.push_back(number);
   } else {
-    of.prompts.push_back({now, in.prompt_tokens});
-    if (came_back(of, in, now)) {
+    const bool returned = came_back(of, in, now);
+    of.arrivals.push_back({now, in.prompt_tokens,
+                           returned ? 0 : in.prompt_tokens + in.output_tokens});
+    if (returned) {
       waiting.ask.turn = placement_class::returned;
       waiting.until = now + options_.returned_patience;
     }
@@ -354,7 +358,7 @@
 
 // The engine with the least in use comes first: streams of small batches are
 // faster, and there is room for outputs beyond what was expected.
-engine_scheduler::engine* engine_scheduler::choose_decode(
+std::vector<engine_scheduler::engine*> engine_scheduler::fitting_engines(
     const service& of, const placement_ask& ask, time_point now) {
   std::vector<std::pair<double, engine*>> candidates;
   const double limit =
@@ -374,12 +378,16 @@
     }
   }
   std::sort(candidates.begin(), candidates.end());
+  std::vector<engine*> out;
   for (const auto& [in_use, each] : candidates) {
     if (peak_with(of, *each, ask, now) <= limit) {
-      return each;
+      out.push_back(each);
+      if (out.size() == max_choices) {
+        break;
+      }
     }
   }
-  return nullptr;
+  return out;
 }
 
 engine_scheduler::prefill_choice engine_scheduler::choose_prefill(
@@ -392,7 +400,8 @@
   if (!ask.split) {
     return best;
   }
-  duration best_cost = best.wait + options_.own_prefill_penalty;
+  duration best_cost = best.wait + options_.own_prefill_penalty +
+                       std::max(duration{}, decode.own_prefill_until - now);
   for (auto& [id, each] : engines_) {
     if (each.listed.service != ask.service || each.listed.leaving ||
         each.listed.stage != engine_stage::prefill || !usable(each, now) ||
@@ -417,11 +426,22 @@
 std::optional<placement_grant> engine_scheduler::place(
     service& of, const waiting_ask& waiting, time_point now) {
   const placement_ask& ask = waiting.ask;
-  engine* const decode = choose_decode(of, ask, now);
-  if (decode == nullptr) {
+  const std::vector<engine*> fitting = fitting_engines(of, ask, now);
+  if (fitting.empty()) {
     return std::nullopt;
   }
-  const prefill_choice prefill = choose_prefill(of, *decode, ask, now);
+  engine* decode = fitting.front();
+  prefill_choice prefill = choose_prefill(of, *decode, ask, now);
+  if (prefill.at == nullptr) {
+    // Streams stand two prompts at a time badly.
+    const auto calm = std::find_if(
+        fitting.begin(), fitting.end(),
+        [now](const engine* each) { return now >= each->own_prefill_until; });
+    if (calm != fitting.end()) {
+      decode = *calm;
+      prefill = choose_prefill(of, *decode, ask, now);
+    }
+  }
   placement_grant out;
   out.id = ask.id;
   out.outcome = placement_outcome::placed;
@@ -437,6 +457,9 @@
                      static_cast<double>(ask.prompt_tokens));
     reader.ejected.tried(options_.eject, now);
     reader.exports.tried(options_.eject, now);
+  } else {
+    decode->own_prefill_until =
+        std::max(now, decode->own_prefill_until) + prefill.wait;
   }
   decode->ejected.tried(options_.eject, now);
   const lease_key key{waiting.process, ask.id};
@@ -478,10 +501,42 @@
   return rate;
 }
 
+// Tokens a second that requests which can still be served in time ask for.
+double engine_scheduler::fresh_rate(service& of, time_point now) const {
+  while (!of.arrivals.empty() &&
+         now - of.arrivals.front().at > arrival_window) {
+    of.arrivals.pop_front();
+  }
+  double tokens = 0;
+  for (const arrival& each : of.arrivals) {
+    tokens += static_cast<double>(each.fresh_tokens);
+  }
+  return tokens / to_seconds(arrival_window);
+}
+
+// From the grant to the first event, at best.
+duration engine_scheduler::min_prefill_wait(const service& of,
+                                            const placement_ask& ask,
+                                            time_point now) const {
+  const duration read = from_seconds(of.prefill_s_per_token *
+                                     static_cast<double>(ask.prompt_tokens));
+  duration best = options_.prefill_latency + read * 2;
+  if (!ask.split) {
+    return best;
+  }
+  for (const auto& [id, each] : engines_) {
+    if (each.listed.service == ask.service && !each.listed.leaving &&
+        each.listed.stage == engine_stage::prefill && usable(each, now)) {
+      best = std::min(best, std::max(duration{}, each.prefill_free_at - now) +
+                                options_.prefill_latency + read);
+    }
+  }
+  return best;
+}
+
 // Those that go first by class, and of its own class what an equal share of the
 // organisations that wait lets pass.
-duration engine_scheduler::predicted_wait(const std::string& name,
-                                          const service& of,
+duration engine_scheduler::predicted_wait(const std::string& name, service& of,
                                           const waiting_ask& waiting,
                                           time_point now) const {
   const placement_ask& ask = waiting.ask;
@@ -499,7 +554,11 @@
   } else if (ask.turn == placement_class::returned) {
     ahead += of.fresh.waiting_cost() + share(of.returned);
   }
-  const double rate = release_rate(name, now);
+  double rate = release_rate(name, now);
+  if (ask.turn == placement_class::returned) {
+    // Requests that can still be served in time go on coming, and go first.
+    rate -= fresh_rate(of, now);
+  }
   return rate <= 0 ? long_wait
                    : std::min(long_wait, from_seconds(ahead / rate));
 }
@@ -567,7 +626,8 @@
     if (!has_engine(name, waiting.ask, now)) {
       grant.outcome = placement_outcome::not_leading;
     } else if (waiting.ask.turn != placement_class::under_way &&
-               now + wait > waiting.until) {
+               now + wait + min_prefill_wait(of, waiting.ask, now) >
+                   waiting.until) {
       grant.outcome = placement_outcome::refused;
     } else {
       grant.outcome = placement_outcome::queued;
@@ -587,7 +647,10 @@
                               std::vector<placement_decision>& out) {
   std::vector<std::uint64_t> expired;
   for (const auto& [number, waiting] : of.asks) {
-    if (waiting.told && now >= waiting.until) {
+    const bool fresh = waiting.ask.turn == placement_class::fresh;
+    const duration left =
+        fresh ? min_prefill_wait(of, waiting.ask, now) : duration{};
+    if (waiting.told && now + left >= waiting.until) {
       expired.push_back(number);
       placement_grant grant;
       grant.outcome = placement_outcome::refused;
@@ -649,18 +712,16 @@
 
 engine_load engine_scheduler::load(const std::string& name, time_point now) {
   service& of = service_named(name);
-  while (!of.prompts.empty() && now - of.prompts.front().at > prompt_window) {
-    of.prompts.pop_front();
-  }
+  fresh_rate(of, now);  // forgets old arrivals
   double prompt_tokens = 0;
-  for (const prompt& each : of.prompts) {
-    prompt_tokens += static_cast<double>(each.tokens);
+  for (const arrival& each : of.arrivals) {
+    prompt_tokens += static_cast<double>(each.prompt_tokens);
   }
   engine_load out;
   out.prefill = (prompt_tokens * of.prefill_s_per_token +
-                 static_cast<double>(of.prompts.size()) *
+                 static_cast<double>(of.arrivals.size()) *
                      to_seconds(options_.prefill_overhead)) /
-                to_seconds(prompt_window);
+                to_seconds(arrival_window);
   double held = of.fresh.waiting_cost() + of.returned.waiting_cost();
   for (const auto& [key, each] : leases_) {
     if (each.service == name) {
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -33,7 +33,8 @@
   /// Of that, what the engine is busy with.
   duration prefill_overhead = milliseconds(10);
   /// A decode engine reads a prompt at half the speed, and slows its streams
-  /// down meanwhile: it does so when that is sooner by this much.
+  /// down meanwhile: it does so when that is sooner by this much, one prompt at
+  /// a time.
   duration own_prefill_penalty = milliseconds(150);
   /// A prefill engine in another failure domain than the decode engine costs
   /// transfers; it is taken when it is sooner by this much.
@@ -130,8 +131,9 @@
   struct engine {
     listed_server listed;
     std::set<lease_key> leases;
-    time_point prefill_free_at{};
-    double slowness = 1;  // of prefills, against the predicted time
+    time_point prefill_free_at{};    // of a prefill engine
+    time_point own_prefill_until{};  // of a decode engine
+    double slowness = 1;             // of prefills, against the predicted time
     ejection ejected;
     ejection exports;  // ejected as the source of KV caches
     time_point full_until{};
@@ -144,9 +146,10 @@
     time_point until;
     bool told = false;  // that it waits
   };
-  struct prompt {
+  struct arrival {
     time_point at;
-    std::int64_t tokens = 0;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t fresh_tokens = 0;  // with the output; 0 for those that return
   };
   struct service {
     service();
@@ -157,7 +160,7 @@
     fair_queue fresh;
     fair_queue returned;
     std::map<std::uint64_t, waiting_ask> asks;  // by number
-    std::deque<prompt> prompts;                 // that were asked for lately
+    std::deque<arrival> arrivals;               // of the last seconds
     std::map<std::string, time_point> refused;  // by prompt id
     std::deque<std::pair<time_point, std::string>> refusals;  // oldest first
   };
@@ -174,8 +177,9 @@
   double peak_with(const service& of, const engine& in,
                    const placement_ask& ask, time_point now) const;
   static bool usable(const engine& in, time_point now);
-  engine* choose_decode(const service& of, const placement_ask& ask,
-                        time_point now);
+  std::vector<engine*> fitting_engines(const service& of,
+                                       const placement_ask& ask,
+                                       time_point now);
   prefill_choice choose_prefill(const service& of, const engine& decode,
                                 const placement_ask& ask, time_point now);
   std::optional<placement_grant> place(service& of, const waiting_ask& waiting,
@@ -183,7 +187,10 @@
   bool has_engine(const std::string& name, const placement_ask& ask,
                   time_point now) const;
   double release_rate(const std::string& name, time_point now) const;
-  duration predicted_wait(const std::string& name, const service& of,
+  double fresh_rate(service& of, time_point now) const;
+  duration min_prefill_wait(const service& of, const placement_ask& ask,
+                            time_point now) const;
+  duration predicted_wait(const std::string& name, service& of,
                           const waiting_ask& waiting, time_point now) const;
   void serve(service& of, time_point now, std::vector<placement_decision>& out);
   bool serve_one(service& of, std::uint64_t number, time_point now,
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -13,10 +13,9 @@
 
 // Callers honour a Retry-After of up to this share of the time they have left.
 constexpr double max_retry_after_share = 1.0 / 3;
-// Callers that were refused come back within so many latency objectives beyond
-// the wait that was predicted.
-constexpr double min_retry_objectives = 0.5;
-constexpr double max_retry_objectives = 3;
+// Whoever was refused is late anyway, and is served the more likely the longer
+// the burst is over.
+constexpr double min_retry_after_share = 0.1;
 // A response at the very deadline would reach the caller after it.
 constexpr duration answer_margin = milliseconds(30);
 // A lost SYN is sent again after a second; another server is nearer than that.
@@ -59,15 +58,15 @@
 
 }  // namespace
 
-duration suggest_retry_after(duration wait, duration objective,
-                             duration time_left, std::mt19937_64& random) {
-  const duration max_wait =
+duration suggest_retry_after(duration wait, duration time_left,
+                             std::mt19937_64& random) {
+  std::uniform_real_distribution<double> share(min_retry_after_share,
+                                               max_retry_after_share);
+  const auto spread =
+      std::chrono::duration_cast<duration>(time_left * share(random));
+  const auto max_wait =
       std::chrono::duration_cast<duration>(time_left * max_retry_after_share);
-  std::uniform_real_distribution<double> spread(min_retry_objectives,
-                                                max_retry_objectives);
-  const duration wanted =
-      wait + std::chrono::duration_cast<duration>(objective * spread(random));
-  return std::max(duration{}, std::min(wanted, max_wait));
+  return std::max(duration{}, std::min(max_wait, std::max(wait, spread)));
 }
 
 void answer_refused(forward_environment& environment, admitted_request& request,
@@ -230,8 +229,7 @@
     environment_.give_back(request_.organisation, request_.allowance_tokens);
   }
   const duration retry_after = suggest_retry_after(
-      wait.value_or(duration{}), milliseconds(route().objective_ms),
-      time_left(), environment_.random);
+      wait.value_or(duration{}), time_left(), environment_.random);
   request_.exchange->respond(
       environment_.codec.make_refusal(status_unavailable, reason, retry_after));
   finish(status_unavailable, reason, false);
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -146,11 +146,11 @@
                                              admitted_request request);
 
 /// Returns when a caller whose request was refused should come back: not before
-/// `wait`, after which it may be served; soon enough for its deadline; and
-/// spread over some objectives, so that callers don't return at once. Callers
-/// wait for a third of the time left at most.
-duration suggest_retry_after(duration wait, duration objective,
-                             duration time_left, std::mt19937_64& random);
+/// `wait`, after which it may be served, and spread over the time left, so that
+/// callers don't return at once and a burst may be over. Callers wait for a
+/// third of it at most.
+duration suggest_retry_after(duration wait, duration time_left,
+                             std::mt19937_64& random);
 
 }  // namespace citronwharf
 
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -31,8 +31,8 @@
 // limit. Most answers end long before it.
 constexpr double expected_output_share = 0.4;
 constexpr duration hold_margin = milliseconds(50);
-// From the grant to the first event, with a short queue at the prefill engine.
-constexpr duration usual_first_event = milliseconds(300);
+// From the first event at the engine to the caller, and for a hold before.
+constexpr duration first_event_margin = milliseconds(80);
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -78,7 +78,7 @@
   void begin() override {
     const duration objective = milliseconds(route().objective_ms);
     search(placement_class::fresh,
-           request().received + objective - usual_first_event);
+           request().received + objective - first_event_margin);
   }
 
   void stop() override {
@@ -325,10 +325,13 @@
       request().exchange->start_stream(environment().codec.make_answer(head_));
     }
     request().exchange->write(event.bytes);
-    last_event_at_ = runtime_clock::now();
+    const time_point now = runtime_clock::now();
     if (events_++ == 0) {
-      first_event_at_ = last_event_at_;
+      first_event_at_ = now;
+    } else {
+      max_gap_ = std::max(max_gap_, now - last_event_at_);
     }
+    last_event_at_ = now;
     if (event.id) {
       last_event_ = event.id;
     }
@@ -346,7 +349,8 @@
       end_call(server_result::served);
       search_.end(made_tokens(), last_event_at_ - first_event_at_);
       request().exchange->finish();
-      note(fmt::format("events({})", events_));
+      note(fmt::format("events({},max_gap_ms={})", events_,
+                       max_gap_.count() / 1000));
       finish(status_ok, "answered", true);
       return;
     }
@@ -483,6 +487,7 @@
   std::int64_t events_ = 0;
   time_point first_event_at_{};
   time_point last_event_at_{};
+  duration max_gap_{};                      // between events
   std::optional<std::int64_t> last_event_;  // that the caller has
 };
 
--- a/src/wire/placement_messages.h
+++ b/src/wire/placement_messages.h
@@ -33,7 +33,7 @@
   std::int64_t prompt_tokens = 0;
   std::int64_t output_tokens = 0;     ///< expected
   bool split = false;                 ///< a prefill engine may read the prompt
-  std::int64_t max_wait_us = 0;       ///< that waiting for memory is of use
+  std::int64_t max_wait_us = 0;       ///< for the first event
   std::vector<std::string> excluded;  ///< ids of engines that failed it
 };
 CITRONWHARF_VALUE(placement_ask, id, service, organisation, prompt, turn,
