Requests wait for the configuration of a starting process

Ruled out: faster elections; the leader is there 0.1 s after the second member.

Change: start_room holds such requests for an eighth of their deadline and three seconds after the start at most, then filters them again.

--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -13,6 +13,7 @@
 #include "gateway/forward.h"
 #include "gateway/operator_api.h"
 #include "gateway/stage_controller.h"
+#include "gateway/start_room.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -87,6 +88,16 @@
                      [this](const std::string& organisation, double tokens) {
                        allowances_.give_back(organisation, tokens);
                      }},
+        room_(
+            process.loop, {},
+            [this] {
+              return table_->version() != 0 &&
+                     cluster_.follower().fresh(runtime_clock::now());
+            },
+            [this](admitted_request request) {
+              request.table = table_;
+              filter(std::move(request));
+            }),
         drain_timer_(process.loop) {}
 
   absl::Status start() override;
@@ -141,6 +152,7 @@
   std::map<std::string, std::uint16_t> ports_;
   std::uint64_t last_forward_ = 0;
   std::map<std::uint64_t, std::unique_ptr<forward>> forwards_;
+  start_room room_;
   std::size_t asking_ = 0;  // requests that wait for their allowance
   bool draining_ = false;
   bool announced_ = false;  // balancers have noticed the drain
@@ -179,6 +191,7 @@
 }
 
 absl::Status gateway_role::start() {
+  room_.start(runtime_clock::now());
   http_server_options small;
   small.listen = process_.options.gateway.readiness;
   absl::Status started = listen(
@@ -284,6 +297,10 @@
   const filter_result found = pass_filters(*request.table, request.caller,
                                            cluster_.follower().fresh(now));
   request.route = found.route;
+  if (found.refusal && found.refusal->come_back && room_.admits(request, now)) {
+    room_.hold(std::move(request));
+    return;
+  }
   if (found.refusal) {
     const auto wait = found.refusal->come_back
                           ? std::optional<duration>(retry_without_configuration)
@@ -417,7 +434,7 @@
 
 void gateway_role::end_if_idle() {
   if (announced_ && drained_ && forwards_.empty() && asking_ == 0 &&
-      callers_->connections() == 0) {
+      room_.empty() && callers_->connections() == 0) {
     const auto done = std::move(drained_);
     drained_ = nullptr;
     done();
--- /dev/null
+++ b/src/gateway/start_room.h
@@ -0,0 +1,68 @@
+/// Requests that came before a starting process knew the configuration.
+#ifndef CITRONWHARF_GATEWAY_START_ROOM_H_
+#define CITRONWHARF_GATEWAY_START_ROOM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+
+#include "gateway/forward.h"
+
+namespace citronwharf {
+
+struct start_room_options {
+  /// A process that still knows nothing after this is cut off, and refuses.
+  duration start_span = seconds(3);
+  /// Share of its deadline that a request may wait here.
+  double max_deadline_share = 1.0 / 8;
+  std::size_t max_requests = 500;
+};
+
+/// Load it answers: processes that were all killed come back together with
+/// their callers, many of whom try only once more; the configuration is there
+/// some tenths of a second later. Loop's thread only.
+class start_room {
+ public:
+  /// `ready` tells whether the configuration is known by now; `leave` takes a
+  /// request on, whether it is or the wait is over.
+  start_room(boost::asio::io_context& loop, start_room_options options,
+             std::function<bool()> ready,
+             std::function<void(admitted_request)> leave);
+  ~start_room();
+  start_room(const start_room&) = delete;
+  start_room& operator=(const start_room&) = delete;
+
+  /// The process starts to serve.
+  void start(time_point now) { started_ = now; }
+  /// Returns whether the request had better wait here.
+  bool admits(const admitted_request& request, time_point now) const;
+  /// Precondition: admits(request).
+  void hold(admitted_request request);
+  bool empty() const { return held_.empty(); }
+
+ private:
+  struct held_request {
+    admitted_request request;
+    time_point until;
+    bool gone = false;  // its caller
+  };
+
+  time_point wait_end(const admitted_request& request) const;
+  void look();
+  void schedule();
+
+  start_room_options options_;
+  std::function<bool()> ready_;
+  std::function<void(admitted_request)> leave_;
+  runtime_timer timer_;
+  time_point started_{};
+  bool over_ = false;  // the configuration was known once
+  std::list<held_request> held_;
+  // Shared with handlers that may come after the room is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace citronwharf
+
+#endif  // CITRONWHARF_GATEWAY_START_ROOM_H_
--- a/test/gateway-system-test.cc
+++ b/test/gateway-system-test.cc
@@ -385,3 +385,22 @@
   BOOST_TEST(got.body == "late");
   BOOST_TEST(gateway->wait() == 0);
 }
+
+// Callers that come back while a killed process starts are served, not refused.
+BOOST_FIXTURE_TEST_CASE(a_restarted_process_serves_those_who_came_first,
+                        world) {
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_served();
+  for (int round = 0; round < 3; ++round) {
+    gateway->kill();
+    start();
+    http_request request = request_to("/c/1");
+    for (header_field& field : request.headers) {
+      if (field.name == "Citronwharf-Deadline-Ms") {
+        field.value = "14000";
+      }
+    }
+    BOOST_TEST(call(callers, request).status == 200);
+    wait_served();
+  }
+}
