A new leader keeps the claims it gets; unused grants queue nowhere; slow engines

Claims of gateways that came before the new leader's first tick were wiped by it, and a session that another one replaced dropped a gateway's leases. Each refused grant left its prompt in the queue that the scheduler believes a prefill engine to have, up to 2.6 s. Requests in the queue of a dead leader waited for its session to time out. Streams on engines that had turned slow paused and kept their memory for four times as long.

Ruled out: holds as large as the whole expected output.

Change: a message to the leader makes it look whether it leads first; replaced sessions are no loss; grants are given back as unused; the leader tells waiting gateways that it is alive; the first events of a stream tell an engine's pace; own prompts only where sooner by 250 ms; a margin on the predicted wait.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -21,6 +21,9 @@
 constexpr duration arrival_window = seconds(1);
 // Engines that have room from which one is chosen.
 constexpr std::size_t max_choices = 6;
+// Generations end in clusters: of those that are expected to wait for so much
+// less than they may, few wait in vain.
+constexpr double wait_margin = 1.2;
 // Without any release in sight.
 constexpr duration long_wait = seconds(10);
 
@@ -64,7 +67,7 @@
   leases_.clear();
   for (auto& [id, each] : engines_) {
     each.leases.clear();
-    each.prefill_free_at = time_point{};
+    each.reading_until = time_point{};
   }
   for (auto& [name, each] : services_) {
     const engine_profile profile = each.profile;
@@ -201,6 +204,12 @@
     }
     return;
   }
+  if (in.unused) {
+    const auto reader = engines_.find(found->second.reader);
+    if (reader != engines_.end()) {
+      reader->second.reading_until -= found->second.read;
+    }
+  }
   service& of = service_named(found->second.service);
   if (in.output_tokens >= min_metered_output && in.span_us > 0) {
     const double seen = static_cast<double>(in.output_tokens) /
@@ -211,7 +220,7 @@
 }
 
 // The shortest prefills tell an engine's speed: others waited there.
-void engine_scheduler::take_speed(engine& at, const engine_observation& in) {
+void engine_scheduler::take_prefill(engine& at, const engine_observation& in) {
   service& of = service_named(at.listed.service);
   const double read_s =
       to_seconds(from_microseconds(in.span_us) - options_.prefill_latency);
@@ -228,6 +237,16 @@
   }
 }
 
+void engine_scheduler::take_pace(engine& at, const engine_observation& in,
+                                 time_point now) {
+  const service& of = service_named(at.listed.service);
+  const double usual_s = static_cast<double>(in.tokens) / of.tokens_per_second;
+  if (to_seconds(from_microseconds(in.span_us)) >
+      options_.max_pace_ratio * usual_s) {
+    at.slow_until = now + options_.slow_lifetime;
+  }
+}
+
 std::optional<duration> engine_scheduler::observe(const engine_observation& in,
                                                   time_point now) {
   const auto found = engines_.find(in.server);
@@ -237,9 +256,12 @@
   engine& at = found->second;
   switch (in.sign) {
     case engine_sign::prefilled:
-      take_speed(at, in);
+      take_prefill(at, in);
       at.ejected.served(options_.eject);
       return std::nullopt;
+    case engine_sign::paced:
+      take_pace(at, in, now);
+      return std::nullopt;
     case engine_sign::answers:
       at.ejected.served(options_.eject);
       return std::nullopt;
@@ -266,8 +288,12 @@
     }
     const lease_key key{process, each.id};
     drop_lease(key);
-    leases_[key] = {each.service, each.server, each.prompt_tokens,
-                    each.output_tokens, now - from_microseconds(each.age_us)};
+    lease& claimed = leases_[key];
+    claimed.service = each.service;
+    claimed.engine = each.server;
+    claimed.prompt_tokens = each.prompt_tokens;
+    claimed.output_tokens = each.output_tokens;
+    claimed.started = now - from_microseconds(each.age_us);
     at->second.leases.insert(key);
   }
 }
@@ -353,7 +379,7 @@
 
 bool engine_scheduler::usable(const engine& in, time_point now) {
   return now >= in.switching_until && now >= in.outlier_until &&
-         !in.ejected.holds(now);
+         now >= in.slow_until && !in.ejected.holds(now);
 }
 
 // The engine with the least in use comes first: streams of small batches are
@@ -401,14 +427,14 @@
     return best;
   }
   duration best_cost = best.wait + options_.own_prefill_penalty +
-                       std::max(duration{}, decode.own_prefill_until - now);
+                       std::max(duration{}, decode.reading_until - now);
   for (auto& [id, each] : engines_) {
     if (each.listed.service != ask.service || each.listed.leaving ||
         each.listed.stage != engine_stage::prefill || !usable(each, now) ||
         each.exports.holds(now) || is_excluded(ask, id)) {
       continue;
     }
-    const duration queue = std::max(duration{}, each.prefill_free_at - now);
+    const duration queue = std::max(duration{}, each.reading_until - now);
     const duration wait = queue + options_.prefill_latency +
                           from_seconds(to_seconds(read) * each.slowness);
     const bool near =
@@ -436,7 +462,7 @@
     // Streams stand two prompts at a time badly.
     const auto calm = std::find_if(
         fitting.begin(), fitting.end(),
-        [now](const engine* each) { return now >= each->own_prefill_until; });
+        [now](const engine* each) { return now >= each->reading_until; });
     if (calm != fitting.end()) {
       decode = *calm;
       prefill = choose_prefill(of, *decode, ask, now);
@@ -448,24 +474,27 @@
   out.turn = ask.turn;
   out.decode = to_granted(decode->listed);
   out.wait_us = to_microseconds(prefill.wait);
+  engine& reader = prefill.at != nullptr ? *prefill.at : *decode;
+  duration read = prefill.wait;
   if (prefill.at != nullptr) {
-    engine& reader = *prefill.at;
     out.prefill = to_granted(reader.listed);
-    reader.prefill_free_at =
-        std::max(reader.prefill_free_at, now) + options_.prefill_overhead +
-        from_seconds(of.prefill_s_per_token * reader.slowness *
-                     static_cast<double>(ask.prompt_tokens));
-    reader.ejected.tried(options_.eject, now);
+    read = options_.prefill_overhead +
+           from_seconds(of.prefill_s_per_token * reader.slowness *
+                        static_cast<double>(ask.prompt_tokens));
     reader.exports.tried(options_.eject, now);
-  } else {
-    decode->own_prefill_until =
-        std::max(now, decode->own_prefill_until) + prefill.wait;
+    reader.ejected.tried(options_.eject, now);
   }
+  reader.reading_until = std::max(reader.reading_until, now) + read;
   decode->ejected.tried(options_.eject, now);
   const lease_key key{waiting.process, ask.id};
   drop_lease(key);
-  leases_[key] = {ask.service, decode->listed.id, ask.prompt_tokens,
-                  ask.output_tokens, now + prefill.wait};
+  leases_[key] = {ask.service,
+                  decode->listed.id,
+                  ask.prompt_tokens,
+                  ask.output_tokens,
+                  now + prefill.wait,
+                  reader.listed.id,
+                  read};
   decode->leases.insert(key);
   return out;
 }
@@ -527,7 +556,7 @@
   for (const auto& [id, each] : engines_) {
     if (each.listed.service == ask.service && !each.listed.leaving &&
         each.listed.stage == engine_stage::prefill && usable(each, now)) {
-      best = std::min(best, std::max(duration{}, each.prefill_free_at - now) +
+      best = std::min(best, std::max(duration{}, each.reading_until - now) +
                                 options_.prefill_latency + read);
     }
   }
@@ -559,8 +588,9 @@
     // Requests that can still be served in time go on coming, and go first.
     rate -= fresh_rate(of, now);
   }
-  return rate <= 0 ? long_wait
-                   : std::min(long_wait, from_seconds(ahead / rate));
+  return rate <= 0
+             ? long_wait
+             : std::min(long_wait, from_seconds(wait_margin * ahead / rate));
 }
 
 bool engine_scheduler::serve_one(service& of, std::uint64_t number,
@@ -710,6 +740,16 @@
   return out;
 }
 
+std::set<std::string> engine_scheduler::waiting_processes() const {
+  std::set<std::string> out;
+  for (const auto& [name, of] : services_) {
+    for (const auto& [number, waiting] : of.asks) {
+      out.insert(waiting.process);
+    }
+  }
+  return out;
+}
+
 engine_load engine_scheduler::load(const std::string& name, time_point now) {
   service& of = service_named(name);
   fresh_rate(of, now);  // forgets old arrivals
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -35,7 +35,7 @@
   /// A decode engine reads a prompt at half the speed, and slows its streams
   /// down meanwhile: it does so when that is sooner by this much, one prompt at
   /// a time.
-  duration own_prefill_penalty = milliseconds(150);
+  duration own_prefill_penalty = milliseconds(250);
   /// A prefill engine in another failure domain than the decode engine costs
   /// transfers; it is taken when it is sooner by this much.
   duration distance_penalty = milliseconds(40);
@@ -47,6 +47,10 @@
   /// How long a request that has come back may wait: callers leave after two
   /// seconds without an event at the earliest.
   duration returned_patience = milliseconds(1700);
+  /// A decode engine that is slower than the others by this factor serves late
+  /// and holds memory for long; it gets nothing for a while.
+  double max_pace_ratio = 2.5;
+  duration slow_lifetime = milliseconds(1500);
   ejection_options eject;
 };
 
@@ -112,6 +116,8 @@
   /// in 100 ms while waiting() holds.
   std::vector<placement_decision> decide(time_point now);
   bool waiting() const;
+  /// Returns the processes whose requests wait.
+  std::set<std::string> waiting_processes() const;
   /// Returns the demand for a service's engines; of prefill over the last
   /// seconds.
   engine_load load(const std::string& service, time_point now);
@@ -127,18 +133,20 @@
     std::int64_t prompt_tokens = 0;
     std::int64_t output_tokens = 0;  // expected
     time_point started;              // first event, as predicted
+    std::string reader;              // engine that reads the prompt
+    duration read{};                 // that this keeps it busy
   };
   struct engine {
     listed_server listed;
     std::set<lease_key> leases;
-    time_point prefill_free_at{};    // of a prefill engine
-    time_point own_prefill_until{};  // of a decode engine
-    double slowness = 1;             // of prefills, against the predicted time
+    time_point reading_until{};  // the prompts that it was given
+    double slowness = 1;         // of prefills, against the predicted time
     ejection ejected;
     ejection exports;  // ejected as the source of KV caches
     time_point full_until{};
     time_point switching_until{};
     time_point outlier_until{};
+    time_point slow_until{};
   };
   struct waiting_ask {
     std::string process;
@@ -170,7 +178,8 @@
   };
 
   service& service_named(const std::string& name);
-  void take_speed(engine& at, const engine_observation& in);
+  void take_prefill(engine& at, const engine_observation& in);
+  void take_pace(engine& at, const engine_observation& in, time_point now);
   double generated(const lease& of, double per_second, time_point now) const;
   std::int64_t memory_limit(const service& of) const;
   double used(const service& of, const engine& in, time_point now) const;
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -265,7 +265,9 @@
 void engine_search::hold_refused() {
   ++refusals_;
   if (granted_) {
-    drop_lease();
+    if (lease_) {
+      environment_.placement.give_back(*std::exchange(lease_, std::nullopt));
+    }
     if (runtime_clock::now() < need_.until) {
       ask_leader();
     } else {
@@ -358,11 +360,11 @@
   }
 }
 
-void engine_search::observe_prefill(const std::string& engine,
-                                    std::int64_t tokens, duration span) {
+void engine_search::observe_speed(const std::string& engine, engine_sign sign,
+                                  std::int64_t tokens, duration span) {
   engine_observation out;
   out.server = engine;
-  out.sign = engine_sign::prefilled;
+  out.sign = sign;
   out.tokens = tokens;
   out.span_us = to_microseconds(span);
   out.predicted_us = to_microseconds(found_.first_event);
--- a/src/gateway/engine_search.h
+++ b/src/gateway/engine_search.h
@@ -63,8 +63,9 @@
   std::string take_hold();
   /// Tells the leader, and the list of this gateway, what was seen.
   void observe(const std::string& engine, engine_sign sign);
-  void observe_prefill(const std::string& engine, std::int64_t tokens,
-                       duration span);
+  /// With what it made of how many tokens, and in which span.
+  void observe_speed(const std::string& engine, engine_sign sign,
+                     std::int64_t tokens, duration span);
 
  private:
   void ask_leader();
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -20,6 +20,11 @@
 constexpr duration busy_interval = milliseconds(20);
 // How often a change of the leader is looked for.
 constexpr duration idle_interval = milliseconds(200);
+// How often the leader says that it still counts what waits, and how long its
+// word holds: a leader that lost power is silent for seconds before its
+// sessions are.
+constexpr duration alive_interval = milliseconds(100);
+constexpr duration alive_timeout = milliseconds(350);
 // Of the line that tells how full the engines are.
 constexpr duration log_interval = seconds(1);
 
@@ -72,9 +77,16 @@
       take_grant(in);
     }
   });
+  peers.on<placement_alive>(
+      [this, alive = alive_](const peer_id& from, const placement_alive&) {
+        if (*alive && from.name == cluster_.follower().leader()) {
+          leader_is_alive();
+        }
+      });
   peers.on<placement_release>(
       [this, alive = alive_](const peer_id& from, const placement_release& in) {
         if (*alive) {
+          take_lead();
           scheduler_.release(from.name, in, runtime_clock::now());
           pump();
         }
@@ -96,6 +108,7 @@
   peers.on<placement_claims>(
       [this, alive = alive_](const peer_id& from, const placement_claims& in) {
         if (*alive) {
+          take_lead();
           scheduler_.claim(from.name, in, runtime_clock::now());
         }
       });
@@ -103,7 +116,9 @@
     if (!*alive) {
       return;
     }
-    if (!up) {
+    // A session that another one replaced is no loss.
+    if (!up &&
+        process_.peers.session_incarnation(peer.name) != peer.incarnation) {
       scheduler_.forget(peer.name);
     }
     if (peer.name == cluster_.follower().leader()) {
@@ -179,9 +194,17 @@
 
 void placement_client::release(std::uint64_t id, std::int64_t output_tokens,
                                duration span) {
-  asks_.erase(id);
-  if (running_.erase(id) != 0) {
-    tell_leader(placement_release{id, output_tokens, to_microseconds(span)});
+  forget(placement_release{id, output_tokens, to_microseconds(span), false});
+}
+
+void placement_client::give_back(std::uint64_t id) {
+  forget(placement_release{id, 0, 0, true});
+}
+
+void placement_client::forget(const placement_release& in) {
+  asks_.erase(in.id);
+  if (running_.erase(in.id) != 0) {
+    tell_leader(in);
   }
 }
 
@@ -222,7 +245,8 @@
   asks_again_at_ = time_point{};
   switch (in.outcome) {
     case placement_outcome::queued:
-      found->second.deadline = time_point::max();
+      found->second.waiting = true;
+      found->second.deadline = runtime_clock::now() + alive_timeout;
       return;
     case placement_outcome::not_leading:
       decide_alone(in.id);
@@ -252,7 +276,7 @@
   asks_.erase(found);
   if (running_.erase(id) != 0) {
     // The leader may have placed it meanwhile.
-    tell_leader(placement_release{id, 0, 0});
+    tell_leader(placement_release{id, 0, 0, true});
   }
   placement_grant out;
   out.id = id;
@@ -285,19 +309,40 @@
   }
 }
 
+void placement_client::tell_waiting(time_point now) {
+  if (!led_ || now - told_waiting_at_ < alive_interval) {
+    return;
+  }
+  told_waiting_at_ = now;
+  const frame out = make_frame(placement_alive{});
+  for (const std::string& process : scheduler_.waiting_processes()) {
+    // Who misses some of them decides alone.
+    process_.peers.send(process, out).IgnoreError();
+  }
+}
+
+void placement_client::leader_is_alive() {
+  const time_point until = runtime_clock::now() + alive_timeout;
+  for (auto& [id, each] : asks_) {
+    if (each.waiting) {
+      each.deadline = until;
+    }
+  }
+}
+
 void placement_client::tick() {
   const time_point now = runtime_clock::now();
   take_lead();
   pump();
   log_state(now);
+  tell_waiting(now);
   const std::string leader = cluster_.follower().leader();
   const bool leader_changed = leader != claimed_at_ && !leader.empty() &&
                               process_.peers.session_incarnation(leader) != 0;
   std::vector<std::uint64_t> unanswered;
   for (const auto& [id, each] : asks_) {
     // What waits at a leader that is gone is asked for elsewhere.
-    if (now >= each.deadline ||
-        (each.deadline == time_point::max() && leader_changed)) {
+    if (now >= each.deadline || (each.waiting && leader_changed)) {
       unanswered.push_back(id);
     }
   }
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -40,6 +40,8 @@
   /// Tells that a generation runs on an engine that the leader did not grant.
   std::uint64_t claim(placement_claim in);
   void release(std::uint64_t id, std::int64_t output_tokens, duration span);
+  /// Releases a grant without having sent anything to its engines.
+  void give_back(std::uint64_t id);
   void observe(const engine_observation& in);
 
   /// Returns the demand for a service's engines; at the leader only.
@@ -49,7 +51,8 @@
  private:
   struct pending_ask {
     done answer;
-    time_point deadline;  // for any reply
+    time_point deadline;   // for a word of the leader
+    bool waiting = false;  // in the leader's queue
   };
 
   void set_handlers();
@@ -60,8 +63,11 @@
   void deliver(const placement_decision& decision);
   void take_grant(const placement_grant& in);
   void decide_alone(std::uint64_t id);
+  void forget(const placement_release& in);
   void tick();
   void log_state(time_point now);
+  void tell_waiting(time_point now);
+  void leader_is_alive();
   void schedule_tick();
   void claim_all();
 
@@ -73,6 +79,7 @@
   std::string claimed_at_;  // leader that knows what runs here
   time_point asks_again_at_{};
   time_point state_logged_at_{};
+  time_point told_waiting_at_{};
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, pending_ask> asks_;
   // What was granted; the age is the reading of the clock at the grant.
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -33,6 +33,9 @@
 constexpr duration hold_margin = milliseconds(50);
 // From the first event at the engine to the caller, and for a hold before.
 constexpr duration first_event_margin = milliseconds(80);
+// Events that tell an engine's pace: enough to cover a prompt that it reads
+// between them.
+constexpr std::int64_t paced_events = 5;
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -180,8 +183,8 @@
     }
     export_ = *std::move(exported);
     exported_at_ = runtime_clock::now();
-    search_.observe_prefill(prefill_.id, export_.tokens,
-                            exported_at_ - prefill_started_);
+    search_.observe_speed(prefill_.id, engine_sign::prefilled, export_.tokens,
+                          exported_at_ - prefill_started_);
     cached_at_ = prefill_;
     note(fmt::format("prefilled({} tokens)", export_.tokens));
     start_decode();
@@ -211,6 +214,7 @@
     error_body_.clear();
     splitter_.reset();
     response_begun_ = false;
+    paced_events_ = 0;
     server_call call;
     if (!export_.handle.empty()) {
       call.kv_source = fmt::format("{}/{}", prefill_.address, export_.handle);
@@ -332,12 +336,28 @@
       max_gap_ = std::max(max_gap_, now - last_event_at_);
     }
     last_event_at_ = now;
+    watch_pace(now);
     if (event.id) {
       last_event_ = event.id;
     }
     return true;
   }
 
+  // The pace of the first events at an engine tells how fast it is.
+  void watch_pace(time_point now) {
+    if (paced_events_ == 0) {
+      pace_from_ = now;
+    }
+    if (++paced_events_ == paced_events + 1) {
+      const std::int64_t per_event =
+          request().service->engine
+              ? request().service->engine->tokens_per_event
+              : 1;
+      search_.observe_speed(last_server_, engine_sign::paced,
+                            paced_events * per_event, now - pace_from_);
+    }
+  }
+
   void on_end() {
     disarm();
     if (response_begun_) {
@@ -487,7 +507,9 @@
   std::int64_t events_ = 0;
   time_point first_event_at_{};
   time_point last_event_at_{};
-  duration max_gap_{};                      // between events
+  duration max_gap_{};             // between events
+  std::int64_t paced_events_ = 0;  // at the present engine
+  time_point pace_from_{};
   std::optional<std::int64_t> last_event_;  // that the caller has
 };
 
--- a/src/wire/placement_messages.h
+++ b/src/wire/placement_messages.h
@@ -72,18 +72,26 @@
 CITRONWHARF_VALUE(placement_grant, id, outcome, decode, prefill, turn, wait_us,
                   waiting)
 
+/// The leader to the gateways whose requests wait there: it still counts them.
+struct placement_alive {
+  static constexpr const char* type_name = "placement_alive";
+};
+CITRONWHARF_EMPTY_VALUE(placement_alive)
+
 /// The generation has ended, or its grant isn't used.
 struct placement_release {
   static constexpr const char* type_name = "placement_release";
   std::uint64_t id = 0;
   std::int64_t output_tokens = 0;  ///< generated
   std::int64_t span_us = 0;        ///< from the first event to the last
+  bool unused = false;             ///< nothing was sent to its engines
 };
-CITRONWHARF_VALUE(placement_release, id, output_tokens, span_us)
+CITRONWHARF_VALUE(placement_release, id, output_tokens, span_us, unused)
 
 /// What a gateway saw of an engine.
 enum class engine_sign {
   prefilled,    ///< read a prompt
+  paced,        ///< made the first events of a stream
   answers,      ///< began a response
   full,         ///< has no memory for a grant
   failed,       ///< reset or broke off
@@ -93,6 +101,7 @@
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(engine_sign,
                              {{engine_sign::prefilled, "prefilled"},
+                              {engine_sign::paced, "paced"},
                               {engine_sign::answers, "answers"},
                               {engine_sign::full, "full"},
                               {engine_sign::failed, "failed"},
@@ -104,8 +113,8 @@
   static constexpr const char* type_name = "engine_observation";
   std::string server;
   engine_sign sign = engine_sign::answers;
-  std::int64_t tokens = 0;        ///< of the prompt, when prefilled
-  std::int64_t span_us = 0;       ///< that it took
+  std::int64_t tokens = 0;        ///< that it read or made
+  std::int64_t span_us = 0;       ///< that this took
   std::int64_t predicted_us = 0;  ///< that the grant said
 };
 CITRONWHARF_VALUE(engine_observation, server, sign, tokens, span_us,
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -335,6 +335,20 @@
   BOOST_TEST(tried == 1);
 }
 
+// Load: engines refuse grants, and each request is granted others. The prompts
+// that were never sent keep no engine busy.
+BOOST_AUTO_TEST_CASE(unused_grants_leave_no_queue_behind) {
+  engine_scheduler scheduler = make_scheduler(1, 4);
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    scheduler.ask("g1", ask_for(id), start);
+    BOOST_TEST(only(scheduler.decide(start)).prefill.id == "p0");
+    placement_release unused;
+    unused.id = id;
+    unused.unused = true;
+    scheduler.release("g1", unused, start);
+  }
+}
+
 // An engine that is slower than it should be gets fewer prompts.
 BOOST_AUTO_TEST_CASE(slow_prefill_engines_get_less) {
   engine_scheduler scheduler = make_scheduler(2, 20);
@@ -361,6 +375,30 @@
   BOOST_TEST(readers["p1"] >= 1);
 }
 
+// Load: an engine that turned four times as slow. Its streams would pause, and
+// keep their memory four times as long.
+BOOST_AUTO_TEST_CASE(slow_decode_engines_get_nothing_for_a_while) {
+  engine_scheduler scheduler = make_scheduler(0, 2);
+  engine_observation seen;
+  seen.sign = engine_sign::paced;
+  seen.tokens = 60;
+  seen.server = "d0";
+  seen.span_us = to_microseconds(milliseconds(1000));
+  scheduler.observe(seen, start);
+  seen.server = "d1";
+  seen.span_us = to_microseconds(milliseconds(270));
+  scheduler.observe(seen, start);
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    scheduler.ask("g1", ask_for(id), start);
+  }
+  for (const placement_decision& each : scheduler.decide(start)) {
+    BOOST_TEST(each.grant.decode.id == "d1");
+  }
+  const time_point later = start + seconds(2);
+  scheduler.ask("g1", ask_for(7), later);
+  BOOST_TEST(only(scheduler.decide(later)).decode.id == "d0");
+}
+
 // A caller whose prompt was refused comes after those that can still be served
 // in time, and waits longer.
 BOOST_AUTO_TEST_CASE(who_comes_back_lets_fresh_requests_pass) {
