--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -2,7 +2,6 @@
 // killed, paused, drained and robbed of disks while operators publish and
 // callers send. CITRONWHARF_SOAK_SEEDS="1 2 3" plays other seeds,
 // CITRONWHARF_SOAK_SECONDS sets the length of one.
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -27,14 +26,6 @@
 constexpr int gateways = 4;
 constexpr int with_disk = 3;
 
-// A port that is free on every address of the gateways.
-std::uint16_t free_port() {
-  boost::asio::io_context loop;
-  boost::asio::ip::tcp::acceptor any(loop,
-                                     {boost::asio::ip::address_v4::any(), 0});
-  return any.local_endpoint().port();
-}
-
 std::string id_of(const http_request& request) {
   return find_header(request.headers, "Citronwharf-Request-Id");
 }
--- a/test/processes.cc
+++ b/test/processes.cc
@@ -5,6 +5,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -142,6 +144,13 @@
   return pid_ == 0 ? exit_code_ : -1;
 }
 
+std::uint16_t free_port() {
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor any(loop,
+                                     {boost::asio::ip::address_v4::any(), 0});
+  return any.local_endpoint().port();
+}
+
 std::uint16_t wait_port(const std::string& port_file, const std::string& name) {
   wait_until([&] { return std::filesystem::exists(port_file); });
   const auto ports =
--- a/test/processes.h
+++ b/test/processes.h
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -62,6 +63,9 @@
   int exit_code_ = -1;
 };
 
+/// Returns a port that is free on every loopback address.
+std::uint16_t free_port();
+
 /// Waits for a port file and returns the port of that name, 0 when it does
 /// not come.
 std::uint16_t wait_port(const std::string& port_file, const std::string& name);
