The list of servers travels as differences, from any member that has it

Cause: with 3,001 servers and 300 gateways the leader sent the whole list after every change, seconds of sending at a time: servers that leave were known after 2.9 to 5.3 s, and after a kill of all processes nothing was served for 30 s, since hundreds of processes read the list themselves within the directory's rate and gave up at its refusals.

Ruled out: whole lists as arrays alone (2.4 s); differences with whole entries for those that leave (drain broken at 300 machines).

Change: directory_copy compares lists by digest, news carry what changed; who has another list asks a random member, which says when it has none; a read that is under way isn't given up, and processes with a data folder ask again for pages that are refused. A process is ready, and its first requests are served, once it knows servers as well as the configuration.

The tests play lists of 61 pages and differences over 50 rounds.

--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -31,13 +31,13 @@
           take_reply(in);
         }
       });
-  peers_.on<fleet_tokens_refund>([this, alive = alive_](
-                                     const peer_id& /*from*/,
-                                     const fleet_tokens_refund& in) {
-    if (*alive && cluster_.leads()) {
-      home_.refund(in, runtime_clock::now());
-    }
-  });
+  peers_.on<fleet_tokens_refund>(
+      [this, alive = alive_](const peer_id& /*from*/,
+                             const fleet_tokens_refund& in) {
+        if (*alive && cluster_.leads()) {
+          home_.refund(in, runtime_clock::now());
+        }
+      });
 }
 
 allowance_client::~allowance_client() {
--- /dev/null
+++ b/src/gateway/codec.cc
@@ -0,0 +1,38 @@
+#include "gateway/codec.h"
+
+#include <tuple>
+
+namespace citronwharf {
+namespace {
+
+template <typename Server>
+auto members(Server& of) {
+  return std::tie(of.id, of.service, of.address, of.failure_domain, of.slots,
+                  of.leaving, of.stage);
+}
+
+}  // namespace
+
+bool operator==(const listed_server& lhs, const listed_server& rhs) {
+  return members(lhs) == members(rhs);
+}
+
+bool operator!=(const listed_server& lhs, const listed_server& rhs) {
+  return !(lhs == rhs);
+}
+
+void to_json(nlohmann::json& out, const listed_server& value) {
+  out = members(value);
+}
+
+void from_json(const nlohmann::json& in, listed_server& value) {
+  in.at(0).get_to(value.id);
+  in.at(1).get_to(value.service);
+  in.at(2).get_to(value.address);
+  in.at(3).get_to(value.failure_domain);
+  in.at(4).get_to(value.slots);
+  in.at(5).get_to(value.leaving);
+  in.at(6).get_to(value.stage);
+}
+
+}  // namespace citronwharf
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -115,8 +115,11 @@
   bool leaving = false;
   engine_stage stage = engine_stage::none;
 };
-CITRONWHARF_VALUE(listed_server, id, service, address, failure_domain, slots,
-                  leaving, stage)
+bool operator==(const listed_server& lhs, const listed_server& rhs);
+bool operator!=(const listed_server& lhs, const listed_server& rhs);
+/// As an array, since lists of thousands travel to hundreds of processes.
+void to_json(nlohmann::json& out, const listed_server& value);
+void from_json(const nlohmann::json& in, listed_server& value);
 
 /// One page of the directory.
 struct directory_page {
--- a/src/gateway/directory_reader.h
+++ b/src/gateway/directory_reader.h
@@ -25,11 +25,17 @@
   directory_reader& operator=(const directory_reader&) = delete;
 
   /// Reads the whole list; `on_list` is called with it unless that fails, which
-  /// is logged. A read that is under way is given up.
-  void read(list_handler on_list);
+  /// is logged. One that insists asks again for pages that are refused.
+  /// Precondition: not busy.
+  void read(bool insists, list_handler on_list);
+  /// Returns whether a read is under way.
+  bool busy() const { return busy_; }
+  /// Returns the pages of the last list.
+  std::size_t pages() const { return pages_read_; }
 
  private:
   void read_page(const std::string& token);
+  void ask_page();
   void take_page(absl::StatusOr<http_response> response);
   void lost(const std::string& reason);
 
@@ -43,6 +49,11 @@
   std::size_t unreadable_ = 0;
   std::size_t unreadable_logged_ = 0;
   std::size_t pages_ = 0;
+  std::string token_;  // of the page that is read
+  bool insists_ = false;
+  int refused_ = 0;  // calls of this read
+  std::size_t pages_read_ = 0;
+  bool busy_ = false;
   bool lost_ = false;
 };
 
--- a/src/gateway/directory_share.h
+++ b/src/gateway/directory_share.h
@@ -3,6 +3,7 @@
 #define CITRONWHARF_GATEWAY_DIRECTORY_SHARE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -17,25 +18,61 @@
 /// The leader to all gateways, after each read of the directory.
 struct directory_news {
   static constexpr const char* type_name = "directory_news";
-  std::uint64_t revision = 0;  ///< counts changes that the sender has seen
-  bool whole = false;          ///< the servers follow
-  std::vector<listed_server> servers;
+  std::string digest;                  ///< of the list
+  std::string base;                    ///< of the list before; "": whole list
+  std::vector<listed_server> changed;  ///< new or other than in the base
+  std::vector<std::string> leaving;    ///< ids of those that only now leave
+  std::vector<std::string> removed;    ///< ids
+  std::int64_t next_us = 0;            ///< until the next news, at the latest
 };
-CITRONWHARF_VALUE(directory_news, revision, whole, servers)
+CITRONWHARF_VALUE(directory_news, digest, base, changed, leaving, removed,
+                  next_us)
 
-/// Asks the leader for the whole list.
+/// A list of servers, by id, that processes compare by its digest.
+class directory_copy {
+ public:
+  /// Takes a whole list. Returns what changed, as news for those who had the
+  /// list before.
+  directory_news take(const std::vector<listed_server>& listed);
+  /// Takes news. Returns false, and changes nothing, when the news builds on
+  /// another list.
+  bool apply(const directory_news& in);
+  /// Returns the list as news for those who have none.
+  directory_news whole() const;
+
+  const std::string& digest() const { return digest_; }
+  std::vector<listed_server> list() const;
+
+ private:
+  void refresh_digest();
+
+  std::map<std::string, listed_server> servers_;  // by id
+  std::string digest_;
+};
+
+/// Asks a process for the whole list, if it has the one with this digest.
 struct directory_fetch {
   static constexpr const char* type_name = "directory_fetch";
+  std::string digest;
+};
+CITRONWHARF_VALUE(directory_fetch, digest)
+
+/// The process asked has another list, or none.
+struct directory_miss {
+  static constexpr const char* type_name = "directory_miss";
 };
-CITRONWHARF_EMPTY_VALUE(directory_fetch)
+CITRONWHARF_EMPTY_VALUE(directory_miss)
 
 struct directory_turn_options {
   /// Between the leader's reads. Servers that leave get no new work after a
   /// few seconds, of which the platform's lag takes one.
   duration leader_interval = milliseconds(600);
-  /// Without news for so long a gateway reads the directory itself: two reads
-  /// of the leader.
-  duration trust = milliseconds(1300);
+  /// Beyond that for each page of the list, so that long lists cost the
+  /// directory no more calls a second than it takes.
+  duration page_interval = milliseconds(10);
+  /// Without news for this much longer than the leader said, a gateway reads
+  /// the directory itself: one read of the leader may fail.
+  duration trust_margin = milliseconds(600);
   /// Between a gateway's own reads.
   duration own_interval = milliseconds(1200);
 };
@@ -47,16 +84,24 @@
  public:
   explicit directory_turn(directory_turn_options options) : options_(options) {}
 
-  /// The leader's news came.
-  void heard(time_point now) { heard_at_ = now; }
+  /// The leader's news came, and more will within the span.
+  void heard(duration next, time_point now) {
+    trusts_until_ = now + next + options_.trust_margin;
+  }
   /// This process reads the directory, successfully or not.
   void reads(time_point now) { read_at_ = now; }
-  /// Returns how long to wait before the next look; zero: read now.
-  duration pause(bool leads, time_point now) const;
+  /// Returns how long to wait before the next look at a list of so many pages;
+  /// zero: read now.
+  duration pause(bool leads, std::size_t pages, time_point now) const;
+  /// Returns the span between the leader's reads of so many pages.
+  duration leader_interval(std::size_t pages) const {
+    return options_.leader_interval +
+           options_.page_interval * static_cast<std::int64_t>(pages);
+  }
 
  private:
   directory_turn_options options_;
-  time_point heard_at_{};
+  time_point trusts_until_{};
   time_point read_at_{};
 };
 
@@ -78,9 +123,12 @@
 
  private:
   void take_own(const std::vector<listed_server>& listed);
+  void answer_fetch(const std::string& process, const directory_fetch& in);
   void take_news(const peer_id& from, const directory_news& in);
   void look();
   void look_after(duration span);
+  void fetch(const std::string& digest);
+  void ask_for_list(const std::string& process);
 
   process_context& process_;
   document_cluster& cluster_;
@@ -89,10 +137,10 @@
   runtime_timer timer_;
   std::mt19937_64 random_;
   list_handler on_list_;
-  std::vector<listed_server> listed_;  // that this process read last
-  std::uint64_t revision_ = 0;         // of that
-  std::string news_from_;              // leader whose list is in use
-  std::uint64_t news_revision_ = 0;
+  directory_copy copy_;
+  time_point read_started_{};
+  time_point fetched_at_{};
+  std::string wanted_;  // digest of a list that was asked for
   // Shared with handlers that may come after the share is gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -90,10 +90,7 @@
                      }},
         room_(
             process.loop, {},
-            [this] {
-              return table_->version() != 0 &&
-                     cluster_.follower().fresh(runtime_clock::now());
-            },
+            [this] { return knows_enough(runtime_clock::now()); },
             [this](admitted_request request) {
               request.table = table_;
               filter(std::move(request));
@@ -103,8 +100,7 @@
   absl::Status start() override;
   void drain(std::function<void()> done) override;
   bool ready() const override {
-    return !draining_ && table_->version() != 0 && !servers_.empty() &&
-           cluster_.follower().fresh(runtime_clock::now());
+    return !draining_ && knows_enough(runtime_clock::now());
   }
   std::map<std::string, std::uint16_t> ports() const override { return ports_; }
   void reload(const settings& options) override {
@@ -112,6 +108,11 @@
   }
 
  private:
+  /// Returns whether configuration and servers are known.
+  bool knows_enough(time_point now) const {
+    return table_->version() != 0 && !servers_.empty() &&
+           cluster_.follower().fresh(now);
+  }
   absl::Status listen(std::unique_ptr<http_server>& server,
                       const std::string& name, const http_server_options& with,
                       http_server::handler handler);
@@ -297,7 +298,8 @@
   const filter_result found = pass_filters(*request.table, request.caller,
                                            cluster_.follower().fresh(now));
   request.route = found.route;
-  if (found.refusal && found.refusal->come_back && room_.admits(request, now)) {
+  if (!knows_enough(now) && room_.admits(request, now) &&
+      (!found.refusal || found.refusal->come_back)) {
     room_.hold(std::move(request));
     return;
   }
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -33,6 +33,8 @@
   profile.kv_tokens = engine_memory;
   out.set_profile("models", profile);
   std::vector<listed_server> listed;
+  listed.reserve(static_cast<std::size_t>(prefill) +
+                 static_cast<std::size_t>(decode));
   for (int at = 0; at < prefill; ++at) {
     listed.push_back(engine(fmt::format("p{}", at), engine_stage::prefill));
   }
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -386,13 +386,13 @@
   duration longest{};
   for (time_point now = start; now < start + seconds(20);
        now += milliseconds(50)) {
-    if (now < lost && leader.pause(true, now) == duration{}) {
+    if (now < lost && leader.pause(true, 1, now) == duration{}) {
       leader.reads(now);
       ++leader_reads;
-      follower.heard(now);
+      follower.heard(leader.leader_interval(1), now);
       longest_without_news = now;
     }
-    if (follower.pause(false, now) == duration{}) {
+    if (follower.pause(false, 1, now) == duration{}) {
       follower.reads(now);
       ++follower_reads;
       longest_without_news = now;
@@ -407,6 +407,64 @@
   BOOST_TEST(longest.count() <= duration(milliseconds(1350)).count());
 }
 
+// A list of 61 pages is read less often, and trusted for longer.
+BOOST_AUTO_TEST_CASE(a_long_list_is_read_by_one_process_all_the_same) {
+  directory_turn leader({});
+  directory_turn follower({});
+  for (time_point now = start; now < start + seconds(20);
+       now += milliseconds(50)) {
+    if (leader.pause(true, 61, now) == duration{}) {
+      leader.reads(now);
+      // The news come when the read has ended.
+      follower.heard(leader.leader_interval(61) + milliseconds(300), now);
+    }
+    BOOST_TEST((follower.pause(false, 61, now) > duration{}));
+  }
+}
+
+// Load: thousands of servers before hundreds of gateways; of each change only
+// the change travels.
+BOOST_AUTO_TEST_CASE(copies_of_the_directory_follow_by_differences) {
+  std::mt19937 random(7);
+  directory_copy leader;
+  directory_copy follower;
+  constexpr std::size_t servers = 300;
+  std::vector<listed_server> listed;
+  listed.reserve(servers);
+  for (std::size_t at = 0; at < servers; ++at) {
+    listed.push_back(engine("e" + std::to_string(at), engine_stage::decode));
+  }
+  BOOST_TEST(follower.apply(leader.take(listed)));
+  for (int round = 0; round < 50; ++round) {
+    listed[random() % listed.size()].leaving = true;
+    listed.erase(listed.begin() +
+                 static_cast<std::ptrdiff_t>(random() % listed.size()));
+    listed.push_back(
+        engine("n" + std::to_string(round), engine_stage::prefill));
+    std::shuffle(listed.begin(), listed.end(), random);
+    const directory_news news = leader.take(listed);
+    BOOST_TEST(news.changed.size() == 1U);
+    BOOST_TEST(news.leaving.size() <= 1U);
+    BOOST_TEST(news.removed.size() == 1U);
+    BOOST_TEST(follower.apply(news));
+    BOOST_TEST((follower.list() == leader.list()));
+  }
+  // Who missed one needs the whole list; who read the same by itself does not.
+  directory_copy behind = follower;
+  directory_copy reader;
+  listed.pop_back();
+  leader.take(listed);
+  listed.pop_back();
+  const directory_news news = leader.take(listed);
+  reader.take(listed);
+  BOOST_TEST(!behind.apply(news));
+  BOOST_TEST((behind.list() == follower.list()));
+  BOOST_TEST(behind.apply(leader.whole()));
+  BOOST_TEST((behind.list() == leader.list()));
+  BOOST_TEST(reader.apply(news));
+  BOOST_TEST((reader.list() == leader.list()));
+}
+
 // An engine that goes on failing is tried less and less often.
 BOOST_AUTO_TEST_CASE(failed_trials_lengthen_an_ejection) {
   const ejection_options options;
