An organisation that comes late to a new leader finds its burst

Ruled out: counting over sliding windows of 8 s instead of a bucket.

Change: the count starts when the process begins to lead. The test fails without it.

--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -47,7 +47,7 @@
 fleet_tokens_reply allowance_client::count(const fleet_tokens_ask& in) {
   const bool leads = cluster_.leads();
   if (leads && !led_) {
-    home_.start_leading();
+    home_.start_leading(runtime_clock::now());
   }
   led_ = leads;
   if (!leads) {
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -93,7 +93,8 @@
   if (found == buckets_.end()) {
     found = buckets_
                 .emplace(in.organisation,
-                         reserving_bucket(limit, burst * initial_share, now))
+                         reserving_bucket(limit, burst * initial_share,
+                                          leads_since_))
                 .first;
   }
   reserving_bucket& bucket = found->second;
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -50,7 +50,10 @@
  public:
   /// A process that starts to lead gives what accrues from now on and a part
   /// of the burst: the one that led before may have just given the rest.
-  void start_leading() { buckets_.clear(); }
+  void start_leading(time_point now) {
+    buckets_.clear();
+    leads_since_ = now;
+  }
 
   /// Gives the tokens, at once or after a wait that the request allows, or
   /// says when to come back. While over half of the burst is there, a gateway
@@ -61,6 +64,7 @@
 
  private:
   std::map<std::string, reserving_bucket> buckets_;  // by organisation
+  time_point leads_since_{};
 };
 
 /// One gateway's view. No I/O, no clock of its own. One thread.
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -249,6 +249,7 @@
 BOOST_AUTO_TEST_CASE(what_never_ran_is_given_back) {
   const allowance limit = to_allowance(1, 1000);
   fleet_allowance_home home;
+  home.start_leading(start);
   const fleet_tokens_ask ask{1, "importers", 250, 0};
   BOOST_TEST(home.ask(ask, limit, start).granted);
   BOOST_TEST(!home.ask(ask, limit, start).granted);
@@ -256,6 +257,18 @@
   BOOST_TEST(home.ask(ask, limit, start).granted);
 }
 
+// Load: an organisation that was quiet since the leader changed; and one that
+// wasn't, whose burst the leader before may have just given.
+BOOST_AUTO_TEST_CASE(who_comes_late_to_a_new_leader_finds_its_burst) {
+  const allowance limit = to_allowance(1000, 1000);
+  fleet_allowance_home home;
+  home.start_leading(start);
+  const fleet_tokens_ask late{1, "importers", 1000, 0};
+  BOOST_TEST(home.ask(late, limit, start + seconds(2)).granted);
+  const fleet_tokens_ask early{1, "exporters", 1000, 0};
+  BOOST_TEST(!home.ask(early, limit, start + milliseconds(700)).granted);
+}
+
 BOOST_AUTO_TEST_CASE(without_the_leader_each_process_has_its_part) {
   const allowance limit = to_allowance(8000, 8000);
   double given = 0;
