Sessions are dialled again soon when an address does not answer

Ruled out: faster elections; shorter redial waits, which were not reached.

Change: a dial is given up after 150 ms, or the wait between dials where that is longer; a socket that opens after that is closed.

The test saw one dial in 600 ms before.

--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -31,6 +31,9 @@
 
 constexpr duration first_redial = milliseconds(50);
 constexpr duration longest_redial = seconds(2);
+// A lost SYN is sent again only after a second; dialling anew is sooner. Grows
+// with the wait between dials, for links that take longer.
+constexpr duration first_dial_timeout = milliseconds(150);
 // The library's own handlers refer to the endpoints until they have run.
 constexpr auto linger = std::chrono::milliseconds(200);
 
@@ -46,6 +49,7 @@
   bool authenticated = false;
   time_point last_heard{};
   time_point last_sent{};
+  duration max_silence{};
 };
 
 // An address that is dialled until forgotten.
@@ -107,6 +111,7 @@
   void deliver(const peer_id& from, const frame& in);
   void lost(std::uint64_t id, const std::string& why);
   void drop(std::uint64_t id, const std::string& why);
+  void close_socket(const connection_hdl& handle, bool dialled);
   void refuse(session& from, const std::string& why);
   absl::Status write(session& to, const frame& out);
   void dial(const std::string& address, dial_target& target);
@@ -158,13 +163,22 @@
   const std::uint64_t id = opened_session.id;
   opened_session.handle = connection->get_handle();
   opened_session.last_heard = runtime_clock::now();
+  const bool dialled = opened_session.dialled;
+  if (!dialled) {
+    opened_session.max_silence = options_.silence_limit;
+  }
   sessions_[id] = std::move(opened_session);
   const std::weak_ptr<impl> weak = weak_from_this();
-  connection->set_open_handler([weak, id](const connection_hdl& /*handle*/) {
-    if (const auto self = weak.lock()) {
-      self->opened(id);
-    }
-  });
+  connection->set_open_handler(
+      [weak, id, dialled](const connection_hdl& handle) {
+        const auto self = weak.lock();
+        if (self && self->find(id) != nullptr) {
+          self->opened(id);
+        } else if (self) {
+          // Given up on while it was dialled.
+          self->close_socket(handle, dialled);
+        }
+      });
   connection->set_message_handler(
       [weak, id](const connection_hdl& /*handle*/,
                  const typename Endpoint::message_ptr& message) {
@@ -250,6 +264,7 @@
   dialled.id = next_id_++;
   dialled.dialled = true;
   dialled.dial_target = address;
+  dialled.max_silence = std::max(first_dial_timeout, target.wait);
   target.session = dialled.id;
   attach<ws_client>(std::move(dialled), connection);
   client_.connect(connection);
@@ -353,6 +368,7 @@
     return;
   }
   at->authenticated = true;
+  at->max_silence = options_.silence_limit;
   up_[name] = id;
   for (auto& [address, target] : targets_) {
     if (address == at->dial_target) {
@@ -391,6 +407,10 @@
   const connection_hdl handle = at->handle;
   const bool dialled = at->dialled;
   lost(id, why);
+  close_socket(handle, dialled);
+}
+
+void peer_hub::impl::close_socket(const connection_hdl& handle, bool dialled) {
   websocketpp::lib::error_code ignored;
   if (dialled) {
     client_.close(handle, websocketpp::close::status::normal, "", ignored);
@@ -504,7 +524,7 @@
   const time_point now = runtime_clock::now();
   std::vector<std::uint64_t> silent;
   for (auto& [id, each] : sessions_) {
-    if (now - each.last_heard > options_.silence_limit) {
+    if (now - each.last_heard > each.max_silence) {
       silent.push_back(id);
     } else if (each.authenticated &&
                now - each.last_sent >= options_.heartbeat) {
--- a/test/peer-hub-test.cc
+++ b/test/peer-hub-test.cc
@@ -100,6 +100,31 @@
   BOOST_TEST(a.got[0] == "a:7");
 }
 
+// A machine that comes up while it is dialled: what was sent before is lost.
+BOOST_AUTO_TEST_CASE(a_dial_without_an_answer_is_soon_made_again) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context loop;
+  tcp::acceptor mute(loop, {boost::asio::ip::address_v4::loopback(), 0});
+  std::vector<tcp::socket> held;
+  std::function<void()> accept = [&] {
+    mute.async_accept([&](boost::system::error_code error, tcp::socket socket) {
+      if (!error) {
+        held.push_back(std::move(socket));
+        accept();
+      }
+    });
+  };
+  accept();
+  node a(loop, "a");
+  const auto started = std::chrono::steady_clock::now();
+  a.hub->connect_address(
+      fmt::format("127.0.0.1:{}", mute.local_endpoint().port()));
+  // The limit for silent sessions alone would take twice 600 ms.
+  BOOST_TEST(run_until(loop, [&] { return held.size() >= 3; }));
+  BOOST_TEST((std::chrono::steady_clock::now() - started <
+              std::chrono::milliseconds(1100)));
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_peer_is_a_new_incarnation) {
   boost::asio::io_context loop;
   node a(loop, "a");
