Requests wait a quarter of their deadline at a starting process

Cause: plain requests waited 190 ms of 1,500, and the configuration is known some 300 to 500 ms after the start of all processes.

Change: a quarter of the deadline, and 1.5 s at most.

--- a/src/gateway/start_room.cc
+++ b/src/gateway/start_room.cc
@@ -27,7 +27,8 @@
   const duration share = std::chrono::duration_cast<duration>(
       request.caller.deadline.value_or(milliseconds(0)) *
       options_.max_deadline_share);
-  return std::min(started_ + options_.start_span, request.received + share);
+  return std::min(started_ + options_.start_span,
+                  request.received + std::min(share, options_.max_wait));
 }
 
 bool start_room::admits(const admitted_request& request, time_point now) const {
--- a/src/gateway/start_room.h
+++ b/src/gateway/start_room.h
@@ -15,7 +15,10 @@
   /// A process that still knows nothing after this is cut off, and refuses.
   duration start_span = seconds(3);
   /// Share of its deadline that a request may wait here.
-  double max_deadline_share = 1.0 / 8;
+  double max_deadline_share = 1.0 / 4;
+  /// Callers of streams leave after two seconds without an event at the
+  /// earliest.
+  duration max_wait = milliseconds(1500);
   std::size_t max_requests = 500;
 };
 
