--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -32,8 +32,10 @@
 constexpr duration first_redial = milliseconds(50);
 constexpr duration longest_redial = seconds(2);
 // A lost SYN is sent again only after a second; dialling anew is sooner. Grows
-// with the wait between dials, for links that take longer.
-constexpr duration first_dial_timeout = milliseconds(150);
+// with the wait between dials, for links that take longer. A connection that
+// stands is given the limit of all sessions: the other end may be busy with
+// hundreds of them.
+constexpr duration first_connect_timeout = milliseconds(150);
 // The library's own handlers refer to the endpoints until they have run.
 constexpr auto linger = std::chrono::milliseconds(200);
 
@@ -100,9 +102,12 @@
   template <typename Endpoint>
   void prepare(Endpoint& endpoint);
   template <typename Endpoint>
+  static void send_at_once(typename Endpoint::connection_type& connection);
+  template <typename Endpoint>
   void attach(session opened,
               const typename Endpoint::connection_ptr& connection);
 
+  void connected(std::uint64_t id);
   void opened(std::uint64_t id);
   void received(std::uint64_t id, const std::string& bytes);
   void received_hello(session& from, const frame& in);
@@ -135,6 +140,14 @@
   std::vector<session_handler> session_handlers_;
 };
 
+template <typename Endpoint>
+void peer_hub::impl::send_at_once(
+    typename Endpoint::connection_type& connection) {
+  error_code ignored;
+  connection.get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
+                                         ignored);
+}
+
 template <typename Endpoint>
 void peer_hub::impl::prepare(Endpoint& endpoint) {
   endpoint.clear_access_channels(websocketpp::log::alevel::all);
@@ -147,9 +160,7 @@
     websocketpp::lib::error_code error;
     const auto connection = endpoint.get_con_from_hdl(handle, error);
     if (!error) {
-      error_code ignored;
-      connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
-                                              ignored);
+      send_at_once<Endpoint>(*connection);
     }
   });
   endpoint.set_open_handshake_timeout(
@@ -264,12 +275,27 @@
   dialled.id = next_id_++;
   dialled.dialled = true;
   dialled.dial_target = address;
-  dialled.max_silence = std::max(first_dial_timeout, target.wait);
+  dialled.max_silence = std::max(first_connect_timeout, target.wait);
   target.session = dialled.id;
+  connection->set_tcp_post_init_handler(
+      [weak = weak_from_this(), id = dialled.id,
+       &socket = *connection](const connection_hdl& /*handle*/) {
+        if (const auto self = weak.lock()) {
+          send_at_once<ws_client>(socket);
+          self->connected(id);
+        }
+      });
   attach<ws_client>(std::move(dialled), connection);
   client_.connect(connection);
 }
 
+void peer_hub::impl::connected(std::uint64_t id) {
+  session* at = find(id);
+  if (at != nullptr) {
+    at->max_silence = options_.silence_limit;
+  }
+}
+
 void peer_hub::impl::opened(std::uint64_t id) {
   session* at = find(id);
   if (at == nullptr) {
@@ -368,7 +394,6 @@
     return;
   }
   at->authenticated = true;
-  at->max_silence = options_.silence_limit;
   up_[name] = id;
   for (auto& [address, target] : targets_) {
     if (address == at->dial_target) {
