One copy of timers' callbacks and of seconds; simpler placing

Found in reading the whole change again; behaviour is meant to stay.

- when_expired (base/clock.h) serves eleven timers that each wrote the check of error and owner; to_seconds and from_seconds replace four private copies.
- engine_need holds the placement_ask that was copied into it field by field; engines that are excluded are a set on both sides.
- engine_scheduler: one test of who serves an ask at a stage, one span for reading a prompt; release takes no time that it didn't use, release_rate no service by a second lookup, forgetting of arrivals has a name.
- placement_client kept a reading of the clock in a claim's age; it has a field.
- health_share writes a server's name once a report, not at each response.
- peer_hub closes late sockets where it finds that nobody waits for them.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -44,7 +44,7 @@
     made.load = load;
     made.flood = flood;
     made.faults = faults;
-    made.length = of_seconds(FLAGS_seconds);
+    made.length = from_seconds(FLAGS_seconds);
     all.push_back(made);
   };
   for (const double load : {0.5, 0.8, 1.0, 1.5, 3.0}) add(load, false, false);
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -88,13 +88,6 @@
 constexpr double prefix_share = 0.4;  // of the prompt
 constexpr int flood_factor = 5;
 
-inline double in_seconds(duration span) {
-  return double(span.count()) / 1e6;
-}
-inline duration of_seconds(double span) {
-  return duration(std::int64_t(span * 1e6));
-}
-
 struct request {
   attempt_key key;
   int organisation = 0;
@@ -160,7 +153,7 @@
 inline double capacity(const deployment& size) {
   const double pieces = (mean_prompt + 2 * mean_output) / piece_tokens;
   const double batch = std::min(double(max_running), pieces_total / pieces);
-  const double step = in_seconds(step_time(std::size_t(batch)));
+  const double step = to_seconds(step_time(std::size_t(batch)));
   return size.decode * batch / (mean_output * step);
 }
 
@@ -187,12 +180,12 @@
   on.cache.push_front(r.prefix);
   if (on.cache.size() > cached_prefixes) on.cache.pop_back();
   const double tokens = r.prompt * (cached ? 1 - prefix_share : 1);
-  return of_seconds(tokens / prefill_speed);
+  return from_seconds(tokens / prefill_speed);
 }
 
 inline duration transfer_time(const request& r, bool near) {
   const double speed = link_speed * (near ? 1 : far_link_share);
-  return of_seconds(r.prompt / speed);
+  return from_seconds(r.prompt / speed);
 }
 
 inline endpoint_load load_of(const prefill_endpoint& p, time_point now) {
@@ -204,7 +197,7 @@
                             ? std::max(p.current_ends - now, duration::zero())
                             : duration::zero();
   load.queue_delay_us = to_microseconds(
-      rest + of_seconds(p.queue.waiting_cost() / prefill_speed));
+      rest + from_seconds(p.queue.waiting_cost() / prefill_speed));
   load.tokens_per_second = prefill_speed;
   return load;
 }
@@ -221,7 +214,7 @@
   const double rate = d.admits.rate();
   if (d.desk.size() > 0 && rate > 0) {
     load.queue_delay_us =
-        to_microseconds(of_seconds(d.desk.waiting_cost() / rate));
+        to_microseconds(from_seconds(d.desk.waiting_cost() / rate));
   }
   load.leaving = d.leaving;
   return load;
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -22,7 +22,7 @@
       events_.pop();
       todo();
     }
-    result_.seconds = in_seconds(what_.length - warm_up);
+    result_.seconds = to_seconds(what_.length - warm_up);
     return result_;
   }
 
@@ -176,7 +176,7 @@
   void prefill_take(id_type id) {
     request& r = of(id);
     prefill_endpoint& p = prefill_[std::size_t(r.prefill)];
-    const duration rest = of_seconds(r.prompt / prefill_speed) +
+    const duration rest = from_seconds(r.prompt / prefill_speed) +
                           transfer_time(r, true) + 2 * what_.size.hop;
     const queue_item item =
         item_of(id, r.prompt, std::max(r.latest, r.target()) - rest);
@@ -271,7 +271,7 @@
 
   time_point predicted_release(const request& r) const {
     const double tokens = way_.oracle ? r.output : r.max_tokens;
-    return now_ + of_seconds(tokens * in_seconds(step_time(max_running)));
+    return now_ + from_seconds(tokens * to_seconds(step_time(max_running)));
   }
 
   void joined(id_type id) {
--- a/bench/policy_world.h
+++ b/bench/policy_world.h
@@ -112,8 +112,8 @@
     for (std::size_t o = 0; o < rates.size(); ++o) {
       const double rate = what_.load * capacity(what_.size) * rates[o] / sum;
       std::exponential_distribution<double> gap(rate);
-      time_point when = now_ + of_seconds(gap(random_));
-      for (; when < now_ + what_.length; when += of_seconds(gap(random_))) {
+      time_point when = now_ + from_seconds(gap(random_));
+      for (; when < now_ + what_.length; when += from_seconds(gap(random_))) {
         request made = draw_request(random_, int(o));
         made.arrived = when;
         made.entry = int(random_() % std::uint64_t(what_.size.entries));
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -5,6 +5,8 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace citronwharf {
 
@@ -46,6 +48,27 @@
 using runtime_timer =
     boost::asio::basic_waitable_timer<runtime_clock, runtime_wait_traits>;
 
+/// Calls `handler` when the timer expires, unless it is cancelled or `*alive`
+/// is false by then.
+template <typename Handler>
+void when_expired(runtime_timer& timer, const std::shared_ptr<bool>& alive,
+                  Handler handler) {
+  timer.async_wait([alive, handler = std::move(handler)](
+                       boost::system::error_code error) mutable {
+    if (!error && *alive) {
+      handler();
+    }
+  });
+}
+
+inline double to_seconds(duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+inline duration from_seconds(double span) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(span));
+}
+
 /// Microseconds as carried in messages, where times are always spans.
 inline std::int64_t to_microseconds(duration span) {
   return span.count();
--- a/src/control/document_cluster.cc
+++ b/src/control/document_cluster.cc
@@ -313,11 +313,7 @@
     take_step(*step);
   }
   timer_.expires_after(keeper_interval);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      tick();
-    }
-  });
+  when_expired(timer_, alive_, [this] { tick(); });
 }
 
 void document_cluster::take_step(const group_step& step) {
--- a/src/control/document_follower.cc
+++ b/src/control/document_follower.cc
@@ -97,11 +97,9 @@
   timer_.expires_after(std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::micro>(
           static_cast<double>(base.count()) * spread(random_))));
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      end_reads();
-      poll();
-    }
+  when_expired(timer_, alive_, [this] {
+    end_reads();
+    poll();
   });
 }
 
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -287,11 +287,7 @@
     return;
   }
   timer_.expires_at(due);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      on_timer();
-    }
-  });
+  when_expired(timer_, alive_, [this] { on_timer(); });
 }
 
 void disk_replica::on_timer() {
--- a/src/daemon/health.cc
+++ b/src/daemon/health.cc
@@ -19,8 +19,7 @@
   metric_registry& metrics = process.metrics;
   const configuration_view& view = process.view;
   const time_point now = runtime_clock::now();
-  const double fresh_for =
-      std::chrono::duration<double>(view.fresh_until() - now).count();
+  const double fresh_for = to_seconds(view.fresh_until() - now);
   metrics.set("citronwharf_configuration_version", {},
               static_cast<double>(view.current()->version));
   metrics.set("citronwharf_configuration_fresh_seconds", {},
--- a/src/entry/active_request_actions.cc
+++ b/src/entry/active_request_actions.cc
@@ -15,10 +15,6 @@
     "citronwharf_between_tokens_seconds";
 constexpr const char* waste_metric = "citronwharf_wasted_prefill_tokens_total";
 
-double to_seconds(duration span) {
-  return std::chrono::duration<double>(span).count();
-}
-
 const char* stage_name(life_stage stage) {
   switch (stage) {
     case life_stage::reserve:
--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -126,11 +126,9 @@
   }
   armed_ = true;
   timer_.expires_after(ask_timeout);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      armed_ = false;
-      sweep();
-    }
+  when_expired(timer_, alive_, [this] {
+    armed_ = false;
+    sweep();
   });
 }
 
--- a/src/gateway/directory_share.cc
+++ b/src/gateway/directory_share.cc
@@ -42,8 +42,11 @@
       out.removed.push_back(id);
     }
   }
-  servers_ = std::move(taken);
-  refresh_digest();
+  // Most reads change nothing, and a digest of thousands takes milliseconds.
+  if (digest_.empty() || taken != servers_) {
+    servers_ = std::move(taken);
+    refresh_digest();
+  }
   out.digest = digest_;
   return out;
 }
@@ -225,11 +228,7 @@
   std::uniform_real_distribution<double> spread(1, 1 + pause_jitter);
   timer_.expires_after(
       std::chrono::duration_cast<duration>(span * spread(random_)));
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      look();
-    }
-  });
+  when_expired(timer_, alive_, [this] { look(); });
 }
 
 }  // namespace citronwharf
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -1,7 +1,6 @@
 #include "gateway/engine_scheduler.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace citronwharf {
 namespace {
@@ -27,15 +26,6 @@
 // Without any release in sight.
 constexpr duration long_wait = seconds(10);
 
-double to_seconds(duration span) {
-  return std::chrono::duration<double>(span).count();
-}
-
-duration from_seconds(double span) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(span));
-}
-
 granted_engine to_granted(const listed_server& in) {
   return {in.id, in.address, in.failure_domain};
 }
@@ -50,11 +40,6 @@
   return out;
 }
 
-bool is_excluded(const placement_ask& ask, const std::string& id) {
-  return std::find(ask.excluded.begin(), ask.excluded.end(), id) !=
-         ask.excluded.end();
-}
-
 }  // namespace
 
 engine_scheduler::service::service()
@@ -189,8 +174,7 @@
 }
 
 void engine_scheduler::release(const std::string& process,
-                               const placement_release& in,
-                               time_point /*now*/) {
+                               const placement_release& in) {
   const lease_key key{process, in.id};
   const auto found = leases_.find(key);
   if (found == leases_.end()) {
@@ -323,10 +307,6 @@
   return std::max(0.0, to_seconds(now - of.started) * per_second);
 }
 
-std::int64_t engine_scheduler::memory_limit(const service& of) const {
-  return of.profile.kv_tokens;
-}
-
 // Tokens that the engine's generations take now.
 double engine_scheduler::used(const service& of, const engine& in,
                               time_point now) const {
@@ -377,6 +357,12 @@
   return peak;
 }
 
+bool engine_scheduler::serves(const engine& in, const placement_ask& ask,
+                              engine_stage stage) {
+  return in.listed.service == ask.service && !in.listed.leaving &&
+         in.listed.stage == stage;
+}
+
 bool engine_scheduler::usable(const engine& in, time_point now) {
   return now >= in.switching_until && now >= in.outlier_until &&
          now >= in.slow_until && !in.ejected.holds(now);
@@ -388,11 +374,10 @@
     const service& of, const placement_ask& ask, time_point now) {
   std::vector<std::pair<double, engine*>> candidates;
   const double limit =
-      static_cast<double>(memory_limit(of)) * options_.memory_share;
+      static_cast<double>(of.profile.kv_tokens) * options_.memory_share;
   for (auto& [id, each] : engines_) {
-    if (each.listed.service != ask.service || each.listed.leaving ||
-        each.listed.stage != engine_stage::decode || now < each.full_until ||
-        !usable(each, now) || is_excluded(ask, id)) {
+    if (!serves(each, ask, engine_stage::decode) || now < each.full_until ||
+        !usable(each, now) || ask.excluded.count(id) != 0) {
       continue;
     }
     const auto slots =
@@ -416,22 +401,32 @@
   return out;
 }
 
+duration engine_scheduler::read_span(const service& of,
+                                     const placement_ask& ask) {
+  return from_seconds(of.prefill_s_per_token *
+                      static_cast<double>(ask.prompt_tokens));
+}
+
+// Until the first event, where the decode engine reads the prompt.
+duration engine_scheduler::own_prefill_wait(const service& of,
+                                            const placement_ask& ask) const {
+  return options_.prefill_latency + read_span(of, ask) * 2;
+}
+
 engine_scheduler::prefill_choice engine_scheduler::choose_prefill(
     const service& of, const engine& decode, const placement_ask& ask,
     time_point now) {
-  const duration read = from_seconds(of.prefill_s_per_token *
-                                     static_cast<double>(ask.prompt_tokens));
+  const duration read = read_span(of, ask);
   prefill_choice best;
-  best.wait = options_.prefill_latency + read * 2;
+  best.wait = own_prefill_wait(of, ask);
   if (!ask.split) {
     return best;
   }
   duration best_cost = best.wait + options_.own_prefill_penalty +
                        std::max(duration{}, decode.reading_until - now);
   for (auto& [id, each] : engines_) {
-    if (each.listed.service != ask.service || each.listed.leaving ||
-        each.listed.stage != engine_stage::prefill || !usable(each, now) ||
-        each.exports.holds(now) || is_excluded(ask, id)) {
+    if (!serves(each, ask, engine_stage::prefill) || !usable(each, now) ||
+        each.exports.holds(now) || ask.excluded.count(id) != 0) {
       continue;
     }
     const duration queue = std::max(duration{}, each.reading_until - now);
@@ -499,43 +494,43 @@
   return out;
 }
 
-bool engine_scheduler::has_engine(const std::string& name,
-                                  const placement_ask& ask,
+bool engine_scheduler::has_engine(const placement_ask& ask,
                                   time_point now) const {
   return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
-    const engine& each = entry.second;
-    return each.listed.service == name && !each.listed.leaving &&
-           each.listed.stage == engine_stage::decode &&
-           now >= each.switching_until && !is_excluded(ask, entry.first);
+    const auto& [id, each] = entry;
+    return serves(each, ask, engine_stage::decode) &&
+           now >= each.switching_until && ask.excluded.count(id) == 0;
   });
 }
 
 // Tokens a second that come free while all engines are busy: each generation
 // frees what it has once in its life.
 double engine_scheduler::release_rate(const std::string& name,
-                                      time_point now) const {
-  const auto found = services_.find(name);
+                                      const service& of, time_point now) const {
   double rate = 0;
   for (const auto& [key, each] : leases_) {
     if (each.service != name) {
       continue;
     }
-    const double grown = generated(each, found->second.tokens_per_second, now);
+    const double grown = generated(each, of.tokens_per_second, now);
     const double output =
         std::max(static_cast<double>(each.output_tokens), grown);
-    const double life_s =
-        std::max(0.1, output / found->second.tokens_per_second);
+    const double life_s = std::max(0.1, output / of.tokens_per_second);
     rate += (static_cast<double>(each.prompt_tokens) + output) / life_s;
   }
   return rate;
 }
 
-// Tokens a second that requests which can still be served in time ask for.
-double engine_scheduler::fresh_rate(service& of, time_point now) const {
+void engine_scheduler::forget_old_arrivals(service& of, time_point now) {
   while (!of.arrivals.empty() &&
          now - of.arrivals.front().at > arrival_window) {
     of.arrivals.pop_front();
   }
+}
+
+// Tokens a second that requests which can still be served in time ask for.
+double engine_scheduler::fresh_rate(service& of, time_point now) {
+  forget_old_arrivals(of, now);
   double tokens = 0;
   for (const arrival& each : of.arrivals) {
     tokens += static_cast<double>(each.fresh_tokens);
@@ -547,17 +542,14 @@
 duration engine_scheduler::min_prefill_wait(const service& of,
                                             const placement_ask& ask,
                                             time_point now) const {
-  const duration read = from_seconds(of.prefill_s_per_token *
-                                     static_cast<double>(ask.prompt_tokens));
-  duration best = options_.prefill_latency + read * 2;
+  duration best = own_prefill_wait(of, ask);
   if (!ask.split) {
     return best;
   }
   for (const auto& [id, each] : engines_) {
-    if (each.listed.service == ask.service && !each.listed.leaving &&
-        each.listed.stage == engine_stage::prefill && usable(each, now)) {
+    if (serves(each, ask, engine_stage::prefill) && usable(each, now)) {
       best = std::min(best, std::max(duration{}, each.reading_until - now) +
-                                options_.prefill_latency + read);
+                                options_.prefill_latency + read_span(of, ask));
     }
   }
   return best;
@@ -583,7 +575,7 @@
   } else if (ask.turn == placement_class::returned) {
     ahead += of.fresh.waiting_cost() + share(of.returned);
   }
-  double rate = release_rate(name, now);
+  double rate = release_rate(name, of, now);
   if (ask.turn == placement_class::returned) {
     // Requests that can still be served in time go on coming, and go first.
     rate -= fresh_rate(of, now);
@@ -653,7 +645,7 @@
     const duration wait = predicted_wait(name, of, waiting, now);
     placement_grant grant;
     grant.wait_us = to_microseconds(wait);
-    if (!has_engine(name, waiting.ask, now)) {
+    if (!has_engine(waiting.ask, now)) {
       grant.outcome = placement_outcome::not_leading;
     } else if (waiting.ask.turn != placement_class::under_way &&
                now + wait + min_prefill_wait(of, waiting.ask, now) >
@@ -752,7 +744,7 @@
 
 engine_load engine_scheduler::load(const std::string& name, time_point now) {
   service& of = service_named(name);
-  fresh_rate(of, now);  // forgets old arrivals
+  forget_old_arrivals(of, now);
   double prompt_tokens = 0;
   for (const arrival& each : of.arrivals) {
     prompt_tokens += static_cast<double>(each.prompt_tokens);
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -102,8 +102,7 @@
 
   void ask(const std::string& process, const placement_ask& in, time_point now);
   /// The generation ended, or its caller left while it waited.
-  void release(const std::string& process, const placement_release& in,
-               time_point now);
+  void release(const std::string& process, const placement_release& in);
   /// Returns the span of an ejection that this starts.
   std::optional<duration> observe(const engine_observation& in, time_point now);
   /// Takes what runs at a gateway without a grant of this scheduler.
@@ -181,22 +180,26 @@
   void take_prefill(engine& at, const engine_observation& in);
   void take_pace(engine& at, const engine_observation& in, time_point now);
   double generated(const lease& of, double per_second, time_point now) const;
-  std::int64_t memory_limit(const service& of) const;
   double used(const service& of, const engine& in, time_point now) const;
   double peak_with(const service& of, const engine& in,
                    const placement_ask& ask, time_point now) const;
+  static bool serves(const engine& in, const placement_ask& ask,
+                     engine_stage stage);
   static bool usable(const engine& in, time_point now);
   std::vector<engine*> fitting_engines(const service& of,
                                        const placement_ask& ask,
                                        time_point now);
+  static duration read_span(const service& of, const placement_ask& ask);
+  duration own_prefill_wait(const service& of, const placement_ask& ask) const;
   prefill_choice choose_prefill(const service& of, const engine& decode,
                                 const placement_ask& ask, time_point now);
   std::optional<placement_grant> place(service& of, const waiting_ask& waiting,
                                        time_point now);
-  bool has_engine(const std::string& name, const placement_ask& ask,
-                  time_point now) const;
-  double release_rate(const std::string& name, time_point now) const;
-  double fresh_rate(service& of, time_point now) const;
+  bool has_engine(const placement_ask& ask, time_point now) const;
+  double release_rate(const std::string& name, const service& of,
+                      time_point now) const;
+  static void forget_old_arrivals(service& of, time_point now);
+  static double fresh_rate(service& of, time_point now);
   duration min_prefill_wait(const service& of, const placement_ask& ask,
                             time_point now) const;
   duration predicted_wait(const std::string& name, service& of,
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -34,7 +34,7 @@
                         engine_stage stage) {
   listed_server out;
   out.id = in.id;
-  out.service = need.service;
+  out.service = need.ask.service;
   out.address = in.address;
   out.failure_domain = in.failure_domain;
   out.stage = stage;
@@ -55,12 +55,7 @@
 
 void engine_search::arm(duration span, std::function<void()> expired) {
   timer_.expires_after(std::max(duration{}, span));
-  timer_.async_wait([alive = alive_, expired = std::move(expired)](
-                        boost::system::error_code error) {
-    if (!error && *alive) {
-      expired();
-    }
-  });
+  when_expired(timer_, alive_, std::move(expired));
 }
 
 void engine_search::start(engine_need need) {
@@ -107,18 +102,13 @@
 }
 
 void engine_search::ask_leader() {
-  placement_ask ask;
-  ask.service = need_.service;
-  ask.organisation = need_.organisation;
-  ask.prompt = need_.prompt;
+  placement_ask ask = need_.ask;
   // Who was granted an engine that had no memory after all keeps its turn.
-  ask.turn = refusals_ > 0 ? placement_class::under_way : need_.turn;
-  ask.prompt_tokens = need_.prompt_tokens;
-  ask.output_tokens = need_.output_tokens;
-  ask.split = need_.split;
+  if (refusals_ > 0) {
+    ask.turn = placement_class::under_way;
+  }
   ask.max_wait_us =
       to_microseconds(std::max(duration{}, need_.until - runtime_clock::now()));
-  ask.excluded.assign(need_.excluded.begin(), need_.excluded.end());
   lease_ = environment_.placement.ask(
       std::move(ask), [this, alive = alive_](const placement_grant& in) {
         if (*alive) {
@@ -169,17 +159,18 @@
 }
 
 std::int64_t engine_search::reserved_tokens() const {
-  return need_.prompt_tokens + std::min(need_.output_tokens, max_held_output);
+  return need_.ask.prompt_tokens +
+         std::min(need_.ask.output_tokens, max_held_output);
 }
 
 server_need engine_search::make_need(engine_stage stage) const {
   server_need need;
-  need.service = need_.service;
+  need.service = need_.ask.service;
   need.stage = stage;
   need.tokens = reserved_tokens();
   need.kv_tokens = need_.profile.kv_tokens;
   need.near = environment_.failure_domain;
-  need.excluded = need_.excluded;
+  need.excluded = need_.ask.excluded;
   need.excluded.insert(full_.begin(), full_.end());
   return need;
 }
@@ -204,7 +195,8 @@
   server_need need = make_need(engine_stage::prefill);
   need.near = decode->server.failure_domain;
   const auto prefill = servers.choose(need, now);
-  if (need_.split && decode->server.stage == engine_stage::decode && prefill &&
+  if (need_.ask.split && decode->server.stage == engine_stage::decode &&
+      prefill &&
       std::max(prefill->in_flight, prefill->reported) < max_prefill_queue) {
     found_.prefill = prefill->server;
   }
@@ -241,7 +233,7 @@
     hooks_.note(fmt::format("hold_lost({},{})", id,
                             std::string(response.status().message())));
     observe(id, engine_sign::unreachable);
-    need_.excluded.insert(id);
+    need_.ask.excluded.insert(id);
     hold_refused();
     return;
   }
@@ -287,14 +279,14 @@
 }
 
 memory_queue& engine_search::queue() {
-  return environment_.memory_queues[need_.service];
+  return environment_.memory_queues[need_.ask.service];
 }
 
 // Waits for memory to come free as long as that is of use. A stream that is
 // under way goes before those that have not begun.
 void engine_search::wait_alone() {
   const time_point now = runtime_clock::now();
-  const bool under_way = need_.turn == placement_class::under_way;
+  const bool under_way = need_.ask.turn == placement_class::under_way;
   const duration wait =
       under_way || ticket_ ? hold_wait : queue().predicted_wait(now);
   if (now + wait > need_.until) {
@@ -331,10 +323,10 @@
   leave_queue(true);
   if (!granted_) {
     placement_claim claim;
-    claim.service = need_.service;
+    claim.service = need_.ask.service;
     claim.server = found_.decode.id;
-    claim.prompt_tokens = need_.prompt_tokens;
-    claim.output_tokens = need_.output_tokens;
+    claim.prompt_tokens = need_.ask.prompt_tokens;
+    claim.output_tokens = need_.ask.output_tokens;
     lease_ = environment_.placement.claim(std::move(claim));
   }
   hooks_.found(found_);
--- a/src/gateway/engine_search.h
+++ b/src/gateway/engine_search.h
@@ -14,16 +14,9 @@
 namespace citronwharf {
 
 struct engine_need {
-  std::string service;
+  placement_ask ask;  ///< id and wait are filled in with each asking
   engine_profile profile;
-  std::string organisation;
-  std::string prompt;  ///< id that a caller's next attempt has too, or ""
-  placement_class turn = placement_class::fresh;
-  std::int64_t prompt_tokens = 0;
-  std::int64_t output_tokens = 0;  ///< expected
-  bool split = false;              ///< a prefill engine may read the prompt
-  std::set<std::string> excluded;  ///< ids of engines that failed it
-  time_point until;                ///< that waiting for memory is of use
+  time_point until;  ///< that waiting for memory is of use
 };
 
 struct found_engines {
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -34,8 +34,7 @@
   if (now <= at_) {
     return;
   }
-  const double gained = limit_.tokens_per_second *
-                        std::chrono::duration<double>(now - at_).count();
+  const double gained = limit_.tokens_per_second * to_seconds(now - at_);
   tokens_ = std::min(limit_.burst_tokens, tokens_ + gained);
   at_ = now;
 }
@@ -53,10 +52,7 @@
   if (limit_.tokens_per_second <= 0) {
     return max_wait;
   }
-  return std::min(
-      max_wait,
-      std::chrono::duration_cast<duration>(
-          std::chrono::duration<double>(tokens / limit_.tokens_per_second)));
+  return std::min(max_wait, from_seconds(tokens / limit_.tokens_per_second));
 }
 
 std::optional<duration> reserving_bucket::take(double tokens, duration longest,
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -52,8 +52,7 @@
                            {"status", fmt::format("{}", status)},
                            {"reason", reason}});
   environment.metrics.observe("citronwharf_gateway_request_seconds",
-                              {{"kind", kind}},
-                              std::chrono::duration<double>(elapsed).count());
+                              {{"kind", kind}}, to_seconds(elapsed));
 }
 
 }  // namespace
@@ -101,12 +100,7 @@
 void forward::arm(runtime_timer& timer, duration span,
                   std::function<void()> expired) {
   timer.expires_after(std::max(duration{}, span));
-  timer.async_wait([alive = alive_, expired = std::move(expired)](
-                       boost::system::error_code error) {
-    if (!error && *alive) {
-      expired();
-    }
-  });
+  when_expired(timer, alive_, std::move(expired));
 }
 
 void forward::note(const std::string& decision) {
--- a/src/gateway/health_share.cc
+++ b/src/gateway/health_share.cc
@@ -42,14 +42,8 @@
   schedule();
 }
 
-server_outcomes& health_share::seen(const std::string& server) {
-  server_outcomes& out = seen_[server];
-  out.server = server;
-  return out;
-}
-
 void health_share::lost(const std::string& server) {
-  ++seen(server).lost;
+  ++seen_[server].lost;
   report();
 }
 
@@ -59,6 +53,7 @@
   }
   outcome_report out;
   for (auto& [server, counts] : seen_) {
+    counts.server = server;
     out.servers.push_back(std::move(counts));
   }
   seen_.clear();
@@ -86,11 +81,9 @@
 
 void health_share::schedule() {
   timer_.expires_after(interval);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      report();
-      schedule();
-    }
+  when_expired(timer_, alive_, [this] {
+    report();
+    schedule();
   });
 }
 
--- a/src/gateway/health_share.h
+++ b/src/gateway/health_share.h
@@ -29,14 +29,13 @@
   /// `on_notice` is called when the leader has found an outlier.
   void start(notice_handler on_notice);
 
-  void good(const std::string& server) { ++seen(server).good; }
-  void error(const std::string& server) { ++seen(server).errors; }
-  void refused(const std::string& server) { ++seen(server).refused; }
+  void good(const std::string& server) { ++seen_[server].good; }
+  void error(const std::string& server) { ++seen_[server].errors; }
+  void refused(const std::string& server) { ++seen_[server].refused; }
   /// Told at once: every request that goes there meanwhile may be lost too.
   void lost(const std::string& server);
 
  private:
-  server_outcomes& seen(const std::string& server);
   void report();
   void take(const outcome_report& in);
   void schedule();
--- a/src/gateway/memory_queue.cc
+++ b/src/gateway/memory_queue.cc
@@ -22,15 +22,13 @@
   while (!served_.empty() && now - served_.front() > window) {
     served_.pop_front();
   }
-  const double span_s = std::chrono::duration<double>(
-                            std::min<duration>(window, now - busy_since_))
-                            .count();
+  const double span_s =
+      to_seconds(std::min<duration>(window, now - busy_since_));
   const double per_second =
       (static_cast<double>(served_.size()) + prior_served) /
       (span_s + prior_span_s);
   const double wait_s = static_cast<double>(waiting_.size() + 1) / per_second;
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(wait_s));
+  return from_seconds(wait_s);
 }
 
 memory_queue::ticket memory_queue::join(time_point now,
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -28,10 +28,6 @@
 // Of the line that tells how full the engines are.
 constexpr duration log_interval = seconds(1);
 
-std::int64_t span_since_epoch(time_point at) {
-  return to_microseconds(at.time_since_epoch());
-}
-
 }  // namespace
 
 placement_client::placement_client(process_context& process,
@@ -87,7 +83,7 @@
       [this, alive = alive_](const peer_id& from, const placement_release& in) {
         if (*alive) {
           take_lead();
-          scheduler_.release(from.name, in, runtime_clock::now());
+          scheduler_.release(from.name, in);
           pump();
         }
       });
@@ -173,23 +169,22 @@
   if (idle) {
     schedule_tick();
   }
-  placement_claim& running = running_[in.id];
-  running = {in.id,
-             in.service,
-             "",
-             in.prompt_tokens,
-             in.output_tokens,
-             span_since_epoch(now)};
+  placement_claim claim;
+  claim.id = in.id;
+  claim.service = in.service;
+  claim.prompt_tokens = in.prompt_tokens;
+  claim.output_tokens = in.output_tokens;
+  running_[in.id] = {std::move(claim), now};
   return in.id;
 }
 
 std::uint64_t placement_client::claim(placement_claim in) {
   in.id = ++last_id_;
+  const std::uint64_t id = in.id;
   in.age_us = 0;
   tell_leader(placement_claims{{in}});
-  in.age_us = span_since_epoch(runtime_clock::now());
-  running_[in.id] = in;
-  return in.id;
+  running_[id] = {std::move(in), runtime_clock::now()};
+  return id;
 }
 
 void placement_client::release(std::uint64_t id, std::int64_t output_tokens,
@@ -257,8 +252,8 @@
     case placement_outcome::placed:
       if (const auto running = running_.find(in.id);
           running != running_.end()) {
-        running->second.server = in.decode.id;
-        running->second.age_us = span_since_epoch(runtime_clock::now());
+        running->second.claim.server = in.decode.id;
+        running->second.placed_at = runtime_clock::now();
       }
       break;
   }
@@ -287,9 +282,9 @@
   const time_point now = runtime_clock::now();
   placement_claims out;
   for (const auto& [id, each] : running_) {
-    if (!each.server.empty()) {
-      out.claims.push_back(each);
-      out.claims.back().age_us = span_since_epoch(now) - each.age_us;
+    if (!each.claim.server.empty()) {
+      out.claims.push_back(each.claim);
+      out.claims.back().age_us = to_microseconds(now - each.placed_at);
     }
   }
   if (!out.claims.empty()) {
@@ -362,11 +357,7 @@
 void placement_client::schedule_tick() {
   const bool busy = !asks_.empty() || (led_ && scheduler_.waiting());
   timer_.expires_after(busy ? busy_interval : idle_interval);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      tick();
-    }
-  });
+  when_expired(timer_, alive_, [this] { tick(); });
 }
 
 }  // namespace citronwharf
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -55,6 +55,11 @@
     bool waiting = false;  // in the leader's queue
   };
 
+  struct running_generation {
+    placement_claim claim;  // without its age; server "" until it is placed
+    time_point placed_at;
+  };
+
   void set_handlers();
   template <typename Message>
   void tell_leader(const Message& out);
@@ -82,8 +87,7 @@
   time_point told_waiting_at_{};
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, pending_ask> asks_;
-  // What was granted; the age is the reading of the clock at the grant.
-  std::map<std::uint64_t, placement_claim> running_;
+  std::map<std::uint64_t, running_generation> running_;
   // Shared with handlers that may come after the client is gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -2,7 +2,6 @@
 // so that a broken one can be replaced where the request may be repeated.
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <utility>
 
 #include "gateway/forward.h"
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -2,9 +2,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
-#include <cmath>
 #include <utility>
 
 #include "observe/event.h"
@@ -68,11 +66,7 @@
     }
   }
   timer_.expires_after(interval);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      tick();
-    }
-  });
+  when_expired(timer_, alive_, [this] { tick(); });
 }
 
 bool stage_controller::may_order(time_point now) {
--- a/src/gateway/start_room.cc
+++ b/src/gateway/start_room.cc
@@ -73,11 +73,7 @@
 
 void start_room::schedule() {
   timer_.expires_after(interval);
-  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) {
-      look();
-    }
-  });
+  when_expired(timer_, alive_, [this] { look(); });
 }
 
 }  // namespace citronwharf
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -30,6 +30,8 @@
 // Output that is expected where the caller doesn't say, as a share of its
 // limit. Most answers end long before it.
 constexpr double expected_output_share = 0.4;
+// What an answer that has outgrown its expected output is taken to have left.
+constexpr std::int64_t outgrown_divisor = 4;
 constexpr duration hold_margin = milliseconds(50);
 // From the first event at the engine to the caller, and for a hold before.
 constexpr duration first_event_margin = milliseconds(80);
@@ -88,8 +90,7 @@
     end_call(server_result::abandoned);
     search_.cancel();
     drop_export();
-    boost::system::error_code ignored;
-    watch_.cancel(ignored);
+    disarm();
   }
 
   // Nothing of the prompt is read before a decode engine has memory for it.
@@ -97,17 +98,17 @@
   // service instead of two.
   void search(placement_class turn, time_point until) {
     engine_need need;
-    need.service = request().service->name;
+    need.ask.service = request().service->name;
     need.profile = request().service->engine.value_or(engine_profile{});
-    need.organisation = request().organisation;
+    need.ask.organisation = request().organisation;
     const std::vector<prompt_part>& prompt = request().caller.prompt;
-    need.prompt = prompt.empty() ? "" : prompt.back().id;
-    need.turn = turn;
-    need.prompt_tokens = prompt_tokens_ + made_tokens();
-    need.output_tokens =
-        std::max(output_tokens_ - made_tokens(), output_tokens_ / 4);
-    need.split = sends_ == 0 && !last_event_ && export_.handle.empty();
-    need.excluded = tried_;
+    need.ask.prompt = prompt.empty() ? "" : prompt.back().id;
+    need.ask.turn = turn;
+    need.ask.prompt_tokens = prompt_tokens_ + made_tokens();
+    need.ask.output_tokens = std::max(output_tokens_ - made_tokens(),
+                                      output_tokens_ / outgrown_divisor);
+    need.ask.split = sends_ == 0 && !last_event_ && export_.handle.empty();
+    need.ask.excluded = tried_;
     need.until = std::min(until, request().deadline);
     search_.start(std::move(need));
   }
@@ -397,8 +398,6 @@
     may_be_running_ = false;
     if (report_.sent && !report_.not_run) {
       ++servers_run_;
-    }
-    if (report_.sent && !report_.not_run) {
       // The engine that may have run the request may have fetched it, too.
       export_ = {};
     } else if (!export_usable()) {
--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -108,7 +108,7 @@
               const typename Endpoint::connection_ptr& connection);
 
   void connected(std::uint64_t id);
-  void opened(std::uint64_t id);
+  void opened(std::uint64_t id, const connection_hdl& handle, bool dialled);
   void received(std::uint64_t id, const std::string& bytes);
   void received_hello(session& from, const frame& in);
   void received_proof(session& from, const frame& in);
@@ -175,19 +175,12 @@
   opened_session.handle = connection->get_handle();
   opened_session.last_heard = runtime_clock::now();
   const bool dialled = opened_session.dialled;
-  if (!dialled) {
-    opened_session.max_silence = options_.silence_limit;
-  }
   sessions_[id] = std::move(opened_session);
   const std::weak_ptr<impl> weak = weak_from_this();
   connection->set_open_handler(
       [weak, id, dialled](const connection_hdl& handle) {
-        const auto self = weak.lock();
-        if (self && self->find(id) != nullptr) {
-          self->opened(id);
-        } else if (self) {
-          // Given up on while it was dialled.
-          self->close_socket(handle, dialled);
+        if (const auto self = weak.lock()) {
+          self->opened(id, handle, dialled);
         }
       });
   connection->set_message_handler(
@@ -221,6 +214,7 @@
     }
     session accepted;
     accepted.id = next_id_++;
+    accepted.max_silence = options_.silence_limit;
     attach<ws_server>(std::move(accepted), server_.get_con_from_hdl(handle));
     return true;
   });
@@ -296,9 +290,12 @@
   }
 }
 
-void peer_hub::impl::opened(std::uint64_t id) {
+void peer_hub::impl::opened(std::uint64_t id, const connection_hdl& handle,
+                            bool dialled) {
   session* at = find(id);
   if (at == nullptr) {
+    // Given up on while it was dialled.
+    close_socket(handle, dialled);
     return;
   }
   at->own = session_hello{options_.self.name, options_.self.incarnation,
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -5,19 +5,11 @@
 namespace citronwharf {
 namespace {
 
-constexpr double microseconds_per_second = 1e6;
 constexpr double least_known_span = 0.25;  // seconds
 constexpr duration longest_wait = seconds(60);
 
-double in_seconds(duration span) {
-  return static_cast<double>(span.count()) / microseconds_per_second;
-}
-
-duration from_seconds(double span) {
-  const double most = in_seconds(longest_wait);
-  const double bounded = std::clamp(span, 0.0, most);
-  return duration(
-      static_cast<duration::rep>(bounded * microseconds_per_second));
+duration bounded_wait(double span) {
+  return from_seconds(std::clamp(span, 0.0, to_seconds(longest_wait)));
 }
 
 }  // namespace
@@ -25,9 +17,9 @@
 void admission::served(double cost, bool more, time_point now) {
   if (backlogged_) {
     cost_ += cost;
-    span_ += in_seconds(now - at_);
+    span_ += to_seconds(now - at_);
   }
-  const double memory = in_seconds(options_.memory);
+  const double memory = to_seconds(options_.memory);
   if (span_ > memory) {
     cost_ *= memory / span_;
     span_ = memory;
@@ -50,8 +42,8 @@
   const double others = queue.waiting_weight() - (waits ? item.weight : 0);
   const double share = item.weight / (std::max(0.0, others) + item.weight);
   const double ahead = queue.waiting_cost_of(item.organisation) + item.cost;
-  made.predicted_wait = from_seconds(ahead / (known_rate * share));
-  const duration allowed = from_seconds(in_seconds(slack) * options_.tolerance);
+  made.predicted_wait = bounded_wait(ahead / (known_rate * share));
+  const duration allowed = bounded_wait(to_seconds(slack) * options_.tolerance);
   if (made.predicted_wait <= allowed) return made;
   made.admitted = false;
   made.retry_after = made.predicted_wait - std::max(slack, duration::zero());
--- a/src/policy/fair_share.cc
+++ b/src/policy/fair_share.cc
@@ -6,7 +6,6 @@
 namespace citronwharf {
 namespace {
 
-constexpr double microseconds_per_second = 1e6;
 constexpr double least_weight = 1e-6;
 // An organisation is forgotten after so many times the memory.
 constexpr int forgotten_after = 8;
@@ -15,14 +14,10 @@
 constexpr double most_level = 1.2;
 constexpr double longest_retry = 60;  // seconds
 
-double in_seconds(duration span) {
-  return static_cast<double>(span.count()) / microseconds_per_second;
-}
-
 }  // namespace
 
 double fair_share::rate_at(const offered& of, time_point now) const {
-  const double gone = in_seconds(now - of.at) / in_seconds(options_.memory);
+  const double gone = to_seconds(now - of.at) / to_seconds(options_.memory);
   return of.rate * std::exp(-gone);
 }
 
@@ -53,7 +48,7 @@
   offered& of = made.first->second;
   if (made.second) of.credit = 1;
   of.weight = std::max(weight, least_weight);
-  of.rate = rate_at(of, now) + cost / in_seconds(options_.memory);
+  of.rate = rate_at(of, now) + cost / to_seconds(options_.memory);
   of.at = now;
   const double allowed = level_ * of.weight;
   const double share = level_ > 0 ? std::min(1.0, allowed / of.rate) : 1;
@@ -65,8 +60,7 @@
   }
   decided.admitted = false;
   const double wait = std::min(cost * (1 - of.credit) / allowed, longest_retry);
-  decided.retry_after =
-      duration(static_cast<duration::rep>(wait * microseconds_per_second));
+  decided.retry_after = from_seconds(wait);
   return decided;
 }
 
--- a/src/wire/placement_messages.h
+++ b/src/wire/placement_messages.h
@@ -4,6 +4,7 @@
 #define CITRONWHARF_WIRE_PLACEMENT_MESSAGES_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,10 +32,10 @@
   std::string prompt;  ///< id that a caller's next attempt has too, or ""
   placement_class turn = placement_class::fresh;
   std::int64_t prompt_tokens = 0;
-  std::int64_t output_tokens = 0;     ///< expected
-  bool split = false;                 ///< a prefill engine may read the prompt
-  std::int64_t max_wait_us = 0;       ///< for the first event
-  std::vector<std::string> excluded;  ///< ids of engines that failed it
+  std::int64_t output_tokens = 0;  ///< expected
+  bool split = false;              ///< a prefill engine may read the prompt
+  std::int64_t max_wait_us = 0;    ///< for the first event
+  std::set<std::string> excluded;  ///< ids of engines that failed it
 };
 CITRONWHARF_VALUE(placement_ask, id, service, organisation, prompt, turn,
                   prompt_tokens, output_tokens, split, max_wait_us, excluded)
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -59,6 +59,14 @@
   return out;
 }
 
+// Asks for eight generations, more than one engine holds.
+void fill(engine_scheduler& scheduler) {
+  for (std::uint64_t id = 1; id <= 8; ++id) {
+    scheduler.ask("g1", ask_for(id), start);
+  }
+  scheduler.decide(start);
+}
+
 placement_grant only(const std::vector<placement_decision>& decisions) {
   BOOST_REQUIRE(decisions.size() == 1U);
   return decisions[0].grant;
@@ -170,7 +178,7 @@
       }
       placement_release out;
       out.id = each->first;
-      scheduler_.release("g1", out, now_);
+      scheduler_.release("g1", out);
       each = runs_.erase(each);
     }
   }
@@ -347,7 +355,7 @@
     placement_release unused;
     unused.id = id;
     unused.unused = true;
-    scheduler.release("g1", unused, start);
+    scheduler.release("g1", unused);
   }
 }
 
@@ -405,10 +413,7 @@
 // in time, and waits longer.
 BOOST_AUTO_TEST_CASE(who_comes_back_lets_fresh_requests_pass) {
   engine_scheduler scheduler = make_scheduler(1, 1);
-  for (std::uint64_t id = 1; id <= 8; ++id) {
-    scheduler.ask("g1", ask_for(id), start);
-  }
-  scheduler.decide(start);
+  fill(scheduler);
   placement_ask hopeless = ask_for(9);
   hopeless.max_wait_us = to_microseconds(milliseconds(1));
   scheduler.ask("g1", hopeless, start);
@@ -426,16 +431,13 @@
   scheduler.decide(later);
   placement_release done;
   done.id = 1;
-  scheduler.release("g1", done, later);
+  scheduler.release("g1", done);
   BOOST_TEST(only(scheduler.decide(later)).id == 11U);
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_under_way_goes_first) {
   engine_scheduler scheduler = make_scheduler(1, 1);
-  for (std::uint64_t id = 1; id <= 8; ++id) {
-    scheduler.ask("g1", ask_for(id), start);
-  }
-  scheduler.decide(start);
+  fill(scheduler);
   scheduler.ask("g1", ask_for(9), start);
   placement_ask urgent = ask_for(10);
   urgent.turn = placement_class::under_way;
@@ -443,7 +445,7 @@
   scheduler.decide(start);
   placement_release done;
   done.id = 1;
-  scheduler.release("g1", done, start);
+  scheduler.release("g1", done);
   BOOST_TEST(only(scheduler.decide(start)).id == 10U);
 }
 
@@ -460,10 +462,7 @@
 
 BOOST_AUTO_TEST_CASE(a_process_that_is_gone_holds_nothing) {
   engine_scheduler scheduler = make_scheduler(1, 1);
-  for (std::uint64_t id = 1; id <= 8; ++id) {
-    scheduler.ask("g1", ask_for(id), start);
-  }
-  scheduler.decide(start);
+  fill(scheduler);
   scheduler.ask("g2", ask_for(1), start);
   BOOST_TEST(
       (only(scheduler.decide(start)).outcome == placement_outcome::queued));
