--- a/test/gateway-fleet-test.cc
+++ b/test/gateway-fleet-test.cc
@@ -25,15 +25,7 @@
   fleet() {
     list_.answers = [this](const http_request&,
                            std::unique_ptr<http_exchange> exchange) {
-      exchange->respond(reply(200, json{{"instances",
-                                         {{{"id", "s1"},
-                                           {"service", "desk"},
-                                           {"addr", desk.address()},
-                                           {"zone", "z1"},
-                                           {"slots", 8},
-                                           {"state", "ready"}}}},
-                                        {"next", nullptr}}
-                                       .dump()));
+      exchange->respond(list_of(json::array({listed("s1", "desk", desk)})));
     };
     leader_ = start("g1", leader_host);
     follower_ = start("g2", follower_host);
--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -35,15 +35,7 @@
   explicit soak(std::uint64_t seed) : random_(seed) {
     list_.answers = [this](const http_request&,
                            std::unique_ptr<http_exchange> exchange) {
-      exchange->respond(reply(200, json{{"instances",
-                                         {{{"id", "s1"},
-                                           {"service", "desk"},
-                                           {"addr", desk_.address()},
-                                           {"zone", "z1"},
-                                           {"slots", 8},
-                                           {"state", "ready"}}}},
-                                        {"next", nullptr}}
-                                       .dump()));
+      exchange->respond(list_of(json::array({listed("s1", "desk", desk_)})));
     };
     desk_.answers = [this](const http_request& request,
                            std::unique_ptr<http_exchange> exchange) {
--- a/test/gateway-system-test.cc
+++ b/test/gateway-system-test.cc
@@ -23,8 +23,7 @@
   world() {
     list.answers = [this](const http_request&,
                           std::unique_ptr<http_exchange> exchange) {
-      exchange->respond(
-          reply(200, json{{"instances", instances}, {"next", nullptr}}.dump()));
+      exchange->respond(list_of(instances));
     };
     add("p1", "models", "prefill", prefill);
     add("d1", "models", "decode", decode);
@@ -42,8 +41,7 @@
 
   void add(const std::string& id, const std::string& service,
            const std::string& stage, const stand_in_server& server) {
-    json entry{{"id", id},     {"service", service}, {"addr", server.address()},
-               {"zone", "z1"}, {"slots", 8},         {"state", "ready"}};
+    json entry = listed(id, service, server);
     if (!stage.empty()) {
       entry["stage"] = stage;
     }
--- a/test/gateway_stand_ins.h
+++ b/test/gateway_stand_ins.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,18 @@
   std::uint16_t port_ = 0;
 };
 
+// The list's entry of a server, and a list of one page.
+inline nlohmann::json listed(const std::string& id, const std::string& service,
+                             const stand_in_server& server) {
+  return {{"id", id},     {"service", service}, {"addr", server.address()},
+          {"zone", "z1"}, {"slots", 8},         {"state", "ready"}};
+}
+
+inline http_response list_of(const nlohmann::json& instances) {
+  return reply(
+      200, nlohmann::json{{"instances", instances}, {"next", nullptr}}.dump());
+}
+
 inline std::string event(int id) {
   return fmt::format("id: {}\ndata: t{}\n\n", id, id);
 }
