--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -86,6 +86,7 @@
 
  private:
   void accept();
+  void admit(tcp::socket socket);
 
   http_server_options options_;
   handler on_request_;
@@ -136,8 +137,9 @@
     }
   }
 
+  // A request that has arrived is answered.
   void close_if_idle() {
-    if (phase_ == phase::idle) {
+    if (phase_ == phase::idle && socket_.available(ignored_) == 0) {
       close();
     }
   }
@@ -519,19 +521,32 @@
       return;
     }
     if (!error) {
-      const bool full =
-          self->connections_.size() >= self->options_.max_connections;
-      auto accepted =
-          std::make_shared<connection>(self, self->options_, std::move(socket));
-      self->connections_.insert(accepted);
-      accepted->start(full);
+      self->admit(std::move(socket));
     }
     self->accept();
   });
 }
 
+void http_server::impl::admit(tcp::socket socket) {
+  const bool full = connections_.size() >= options_.max_connections;
+  auto accepted = std::make_shared<connection>(shared_from_this(), options_,
+                                               std::move(socket));
+  connections_.insert(accepted);
+  accepted->start(full);
+}
+
+// Closing the acceptor resets connections that the kernel has taken already,
+// with the requests on them, so those are accepted first.
 void http_server::impl::stop_accepting() {
   error_code ignored;
+  acceptor_.non_blocking(true, ignored);
+  for (error_code error; acceptor_.is_open();) {
+    tcp::socket waiting = acceptor_.accept(error);
+    if (error) {
+      break;
+    }
+    admit(std::move(waiting));
+  }
   acceptor_.close(ignored);
   const auto open = connections_;
   for (const auto& each : open) {
