--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -515,16 +515,16 @@
 }
 
 void http_server::impl::accept() {
-  acceptor_.async_accept([self = shared_from_this()](error_code error,
-                                                     tcp::socket socket) {
-    if (!self->acceptor_.is_open()) {
-      return;
-    }
-    if (!error) {
-      self->admit(std::move(socket));
-    }
-    self->accept();
-  });
+  acceptor_.async_accept(
+      [self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (!self->acceptor_.is_open()) {
+          return;
+        }
+        if (!error) {
+          self->admit(std::move(socket));
+        }
+        self->accept();
+      });
 }
 
 void http_server::impl::admit(tcp::socket socket) {
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -173,6 +173,45 @@
              "HTTP/1.1 503");
 }
 
+// Load: callers connect and send while the server is told to stop. What the
+// system has accepted on the server's behalf is answered.
+BOOST_AUTO_TEST_CASE(a_stop_answers_what_has_arrived) {
+  boost::asio::io_context loop;
+  site made(loop);
+  constexpr int callers = 6;
+  const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  const auto port = static_cast<std::uint16_t>(made.port);
+  const tcp::endpoint to(boost::asio::ip::make_address("127.0.0.1"), port);
+  std::vector<tcp::socket> sockets;
+  // One is kept open by an earlier request, the others are new.
+  sockets.emplace_back(loop);
+  sockets.back().connect(to);
+  BOOST_REQUIRE(
+      run_until(loop, [&] { return made.server->connections() == 1; }));
+  while (sockets.size() < callers) {
+    sockets.emplace_back(loop);
+    sockets.back().connect(to);
+  }
+  for (tcp::socket& each : sockets) {
+    boost::asio::write(each, boost::asio::buffer(request));
+  }
+  made.server->close_after_responses();
+  made.server->stop_accepting();
+  BOOST_TEST(run_until(loop, [&] { return made.requests == callers; }));
+  run_until(loop, [&] { return made.server->connections() == 0; });
+  for (tcp::socket& each : sockets) {
+    std::array<char, 64> bytes{};
+    boost::system::error_code error;
+    const std::size_t size = each.read_some(boost::asio::buffer(bytes), error);
+    BOOST_TEST(std::string(bytes.data(), size).rfind("HTTP/1.1 200", 0) == 0U);
+  }
+  // Nobody new gets in.
+  tcp::socket late(loop);
+  boost::system::error_code refused;
+  late.connect(to, refused);
+  BOOST_TEST(refused.failed());
+}
+
 BOOST_AUTO_TEST_CASE(keep_alive_serves_pipelined_requests_in_order) {
   boost::asio::io_context loop;
   site at(loop);
