Servers that leave or ask to be spared; answers that are nobody's

Servers: an answer that says the server leaves counts at once, here and by way of the leader everywhere, until the directory lists the server anew. After a 503 with Retry-After nothing is sent there but what holds memory already; who can't be served meanwhile is told so at once, with the time to come back. Answers: a success without the server's signature is a failure; a call beside a request takes no answer that belongs to a request. Streams: only whole events show that a stream goes on; the pause that ends an attempt grows with the route's gap objective.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -75,6 +75,10 @@
   bool signed_by = false;  ///< carries the server's signature
   std::string request_id;  ///< echoed
   std::optional<server_load> load;
+  bool leaving = false;  ///< the server is about to stop
+  /// The server refused and wants no requests of this process for so long.
+  std::optional<duration> retry_after;
+  std::string unreadable;  ///< name and value of a header that was ignored
 };
 
 /// A prompt's KV cache on the engine that made it.
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -92,8 +92,8 @@
     return;
   }
   // It lapses by itself, so that a lost call is no matter.
-  environment_.pool.run_detached(forward::call_to(at_hold_.address),
-                                 environment_.codec.drop_hold(found_.hold));
+  forward::tell(environment_, at_hold_,
+                environment_.codec.drop_hold(found_.hold));
   found_.hold.clear();
 }
 
@@ -107,8 +107,10 @@
   if (refusals_ > 0) {
     ask.turn = placement_class::under_way;
   }
-  ask.max_wait_us =
-      to_microseconds(std::max(duration{}, need_.until - runtime_clock::now()));
+  const time_point now = runtime_clock::now();
+  const auto spared = environment_.servers.spared(ask.service, now);
+  ask.excluded.insert(spared.begin(), spared.end());
+  ask.max_wait_us = to_microseconds(std::max(duration{}, need_.until - now));
   lease_ = environment_.placement.ask(
       std::move(ask), [this, alive = alive_](const placement_grant& in) {
         if (*alive) {
@@ -214,7 +216,7 @@
   found_.hold_until = runtime_clock::now() + lifetime;
   at_hold_ = server;
   hold_call_ = environment_.pool.fetch(
-      forward::call_to(server.address),
+      forward::call_to(environment_, server.address),
       environment_.codec.take_hold(tokens, lifetime),
       [this](absl::StatusOr<http_response> response, bool /*sent*/) {
         on_hold(std::move(response));
@@ -237,6 +239,7 @@
     hold_refused();
     return;
   }
+  take_signs(environment_, id, *response);
   auto hold = response->status == status_ok
                   ? environment_.codec.read_hold(response->body)
                   : absl::StatusOr<std::string>(
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -77,6 +77,26 @@
   request.exchange.reset();
 }
 
+server_answer take_signs(forward_environment& environment,
+                         const std::string& server, const http_response& head) {
+  server_answer answer = environment.codec.read_answer(head);
+  const time_point now = runtime_clock::now();
+  if (answer.load) {
+    environment.servers.reported(server, *answer.load, now);
+  }
+  if (answer.leaving) {
+    environment.health.leaving(server);
+  }
+  if (answer.retry_after) {
+    environment.servers.spare(server, *answer.retry_after, now);
+    log_event(events::server_spared, server, to_ms(*answer.retry_after));
+  }
+  if (!answer.unreadable.empty()) {
+    log_event(events::server_header_ignored, server, answer.unreadable);
+  }
+  return answer;
+}
+
 forward::forward(forward_environment& environment, admitted_request request)
     : environment_(environment),
       request_(std::move(request)),
@@ -119,15 +139,28 @@
                       request_.deadline - runtime_clock::now()));
 }
 
-pooled_call forward::call_to(const std::string& address) {
+pooled_call forward::call_to(const forward_environment& environment,
+                             const std::string& address) {
   pooled_call out;
   out.address = address;
   out.connect_timeout = connect_timeout;
+  // A late second response to a request may stand before the own one.
+  out.accepts = [&codec = environment.codec](const http_response& head) {
+    return codec.read_answer(head).request_id.empty();
+  };
   return out;
 }
 
+void forward::tell(forward_environment& environment,
+                   const listed_server& server, const http_request& request) {
+  if (environment.servers.may_send(server.id, runtime_clock::now())) {
+    environment.pool.run_detached(call_to(environment, server.address),
+                                  request);
+  }
+}
+
 pooled_call forward::call_for_request(const std::string& address) const {
-  pooled_call out = call_to(address);
+  pooled_call out = call_to(environment_, address);
   if (request_.route->repeat == repeatability::at_most_once) {
     out.max_idle = max_idle_at_most_once;
   }
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -57,6 +57,11 @@
   std::string trail;    ///< decisions so far
 };
 
+/// Takes what a server says of itself in any response: its load, that it
+/// leaves, that it wants to be spared. Returns the decoded head.
+server_answer take_signs(forward_environment& environment,
+                         const std::string& server, const http_response& head);
+
 /// Common part of plain requests and streams. It ends by calling the `ended`
 /// hook once, in a later turn of the loop.
 class forward {
@@ -70,7 +75,12 @@
   void start(std::function<void()> ended);
 
   /// Returns a call to a server for something beside a request itself.
-  static pooled_call call_to(const std::string& address);
+  static pooled_call call_to(const forward_environment& environment,
+                             const std::string& address);
+  /// Makes such a call whose outcome is of no interest, unless the server asked
+  /// to be spared.
+  static void tell(forward_environment& environment,
+                   const listed_server& server, const http_request& request);
 
  protected:
   /// Makes the first attempt.
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -120,6 +120,7 @@
   absl::Status listen_for_callers();
   void take_document(const published_document& in);
   void leave_alone(const outlier_notice& in);
+  bool leaves(const std::string& server);
   void handle(http_request message, std::unique_ptr<http_exchange> exchange);
   void filter(admitted_request request);
   void allow(admitted_request request, const gateway_organisation& of);
@@ -257,6 +258,14 @@
   placement_.leave_alone(in.server, span);
 }
 
+bool gateway_role::leaves(const std::string& server) {
+  if (!servers_.leaves(server, runtime_clock::now())) {
+    return false;
+  }
+  placement_.set_engines(servers_.all());
+  return true;
+}
+
 allowance gateway_role::limit_of(const std::string& organisation) const {
   const gateway_organisation* found = table_->organisation_named(organisation);
   return found == nullptr
--- a/src/gateway/health_share.cc
+++ b/src/gateway/health_share.cc
@@ -23,8 +23,9 @@
   *alive_ = false;
 }
 
-void health_share::start(notice_handler on_notice) {
+void health_share::start(notice_handler on_notice, leaving_handler on_leaving) {
   on_notice_ = std::move(on_notice);
+  on_leaving_ = std::move(on_leaving);
   process_.peers.on<outcome_report>(
       [this, alive = alive_](const peer_id& /*from*/,
                              const outcome_report& in) {
@@ -39,6 +40,19 @@
           on_notice_(in);
         }
       });
+  process_.peers.on<leaving_report>(
+      [this, alive = alive_](const peer_id& from, const leaving_report& in) {
+        if (*alive && on_leaving_(in.server)) {
+          log_event(events::server_leaves, in.server, from.name);
+          tell_all(in.server);
+        }
+      });
+  process_.peers.on<leaving_notice>(
+      [this, alive = alive_](const peer_id& from, const leaving_notice& in) {
+        if (*alive && on_leaving_(in.server)) {
+          log_event(events::server_leaves, in.server, from.name);
+        }
+      });
   schedule();
 }
 
@@ -47,6 +61,27 @@
   report();
 }
 
+// The directory tells the others later if there is no leader.
+void health_share::leaving(const std::string& server) {
+  if (!on_leaving_(server)) {
+    return;
+  }
+  log_event(events::server_leaves, server, process_.options.process);
+  if (cluster_.leads()) {
+    tell_all(server);
+  } else {
+    process_.peers
+        .send(cluster_.follower().leader(), make_frame(leaving_report{server}))
+        .IgnoreError();
+  }
+}
+
+void health_share::tell_all(const std::string& server) {
+  if (cluster_.leads()) {
+    cluster_.tell_everyone(leaving_notice{server});
+  }
+}
+
 void health_share::report() {
   if (seen_.empty()) {
     return;
--- a/src/gateway/health_share.h
+++ b/src/gateway/health_share.h
@@ -14,11 +14,27 @@
 
 namespace citronwharf {
 
+/// A gateway to the leader: a server said that it is about to stop.
+struct leaving_report {
+  static constexpr const char* type_name = "leaving_report";
+  std::string server;
+};
+CITRONWHARF_VALUE(leaving_report, server)
+
+/// The leader to all gateways.
+struct leaving_notice {
+  static constexpr const char* type_name = "leaving_notice";
+  std::string server;
+};
+CITRONWHARF_VALUE(leaving_notice, server)
+
 /// Loop's thread only. Preconditions: the references outlive it.
 class health_share {
  public:
   using listed_servers = std::function<std::vector<listed_server>()>;
   using notice_handler = std::function<void(const outlier_notice&)>;
+  /// Returns whether that was news.
+  using leaving_handler = std::function<bool(const std::string& server)>;
 
   health_share(process_context& process, document_cluster& cluster,
                listed_servers listed);
@@ -26,16 +42,20 @@
   health_share(const health_share&) = delete;
   health_share& operator=(const health_share&) = delete;
 
-  /// `on_notice` is called when the leader has found an outlier.
-  void start(notice_handler on_notice);
+  /// `on_notice` is called when the leader has found an outlier, `on_leaving`
+  /// when any gateway has heard that a server leaves.
+  void start(notice_handler on_notice, leaving_handler on_leaving);
 
   void good(const std::string& server) { ++seen_[server].good; }
   void error(const std::string& server) { ++seen_[server].errors; }
   void refused(const std::string& server) { ++seen_[server].refused; }
   /// Told at once: every request that goes there meanwhile may be lost too.
   void lost(const std::string& server);
+  /// The server said that it is about to stop.
+  void leaving(const std::string& server);
 
  private:
+  void tell_all(const std::string& server);
   void report();
   void take(const outcome_report& in);
   void schedule();
@@ -44,6 +64,7 @@
   document_cluster& cluster_;
   listed_servers listed_;
   notice_handler on_notice_;
+  leaving_handler on_leaving_;
   outlier_detector detector_;
   runtime_timer timer_;
   bool led_ = false;
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -13,6 +13,12 @@
 // an idempotent request goes to another one.
 constexpr int silent_objectives = 2;
 
+bool is_success(int status) {
+  constexpr int first_success = 200;
+  constexpr int first_redirect = 300;
+  return status >= first_success && status < first_redirect;
+}
+
 class plain_forward final : public forward {
  public:
   plain_forward(forward_environment& environment, admitted_request request)
@@ -39,6 +45,7 @@
     auto chosen = environment().servers.choose(need, now);
     if (!chosen) {
       note("no_server");
+      wait_ = environment().servers.spared_for(request().service->name, now);
       give_up();
       return;
     }
@@ -98,10 +105,14 @@
   }
 
   void on_answer() {
-    const server_answer answer = environment().codec.read_answer(response_);
-    if (answer.load) {
-      environment().servers.reported(last_server_, *answer.load,
-                                     runtime_clock::now());
+    const server_answer answer =
+        take_signs(environment(), last_server_, response_);
+    if (is_success(answer.status) && !answer.signed_by) {
+      // Not the server's own response.
+      note("unsigned");
+      report_.sent = true;
+      settle(server_result::failed);
+      return;
     }
     const server_result result = take_answer(answer, report_);
     if (result == server_result::error) {
@@ -166,7 +177,7 @@
         deliver(std::move(response_), "answered");
         break;
       case verdict::refuse_not_run:
-        refuse_not_run(sends_ == 0 ? "no_server" : "servers_refused");
+        refuse_not_run(sends_ == 0 ? "no_server" : "servers_refused", wait_);
         break;
       case verdict::retry:
       case verdict::fail_unknown:
@@ -179,6 +190,7 @@
   std::unique_ptr<http_call> call_;
   bool at_server_ = false;
   std::vector<std::string> failed_at_;  // servers that answered with errors
+  std::optional<duration> wait_;        // until a server may be used again
   attempt_report report_;
   http_response response_;
 };
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -22,14 +22,22 @@
 server_list::server_list(server_list_options options, std::uint64_t seed)
     : options_(std::move(options)), random_(seed) {}
 
-bool server_list::replace(const std::vector<listed_server>& listed) {
+bool server_list::replace(const std::vector<listed_server>& listed,
+                          time_point now) {
   bool changed = false;
   std::set<std::string> ids;
   for (const listed_server& each : listed) {
     ids.insert(each.id);
     server_state& state = servers_[each.id];
-    changed = changed || state.listed != each;
-    state.listed = each;
+    if (state.listed_leaving && !each.leaving) {
+      // It ended and came back under the same id.
+      state.leaving_until = time_point{};
+    }
+    state.listed_leaving = each.leaving;
+    listed_server known = each;
+    known.leaving = each.leaving || now < state.leaving_until;
+    changed = changed || state.listed != known;
+    state.listed = std::move(known);
   }
   for (auto each = servers_.begin(); each != servers_.end();) {
     const bool gone = ids.count(each->first) == 0;
@@ -92,6 +100,7 @@
     const listed_server& listed = state.listed;
     if (listed.service != need.service || listed.leaving ||
         need.excluded.count(id) != 0 || now < state.switching_until ||
+        is_spared(state, now) ||
         (need.stage != engine_stage::none && listed.stage != need.stage)) {
       continue;
     }
@@ -123,6 +132,7 @@
   server_state& state = found->second;
   ++state.in_flight;
   state.tokens += tokens;
+  state.sent_while_spared += is_spared(state, now) ? 1 : 0;
   state.ejected.tried(options_.eject, now);
 }
 
@@ -184,6 +194,61 @@
   }
 }
 
+bool server_list::leaves(const std::string& id, time_point now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || now < found->second.leaving_until) {
+    return false;
+  }
+  found->second.leaving_until = now + options_.leaving_lifetime;
+  found->second.listed.leaving = true;
+  return true;
+}
+
+void server_list::spare(const std::string& id, duration span, time_point now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) {
+    return;
+  }
+  server_state& state = found->second;
+  // An answer on its way from before the first one changes nothing.
+  if (now >= state.spared_until) {
+    state.spared_at = now;
+    state.sent_while_spared = 0;
+  }
+  state.spared_until = std::max(state.spared_until, now + span);
+  state.full_until = std::max(state.full_until, state.spared_until);
+}
+
+bool server_list::may_send(const std::string& id, time_point now) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() || !is_spared(found->second, now) ||
+         found->second.sent_while_spared < options_.max_sends_while_spared;
+}
+
+std::set<std::string> server_list::spared(const std::string& service,
+                                          time_point now) const {
+  std::set<std::string> out;
+  for (const auto& [id, state] : servers_) {
+    if (state.listed.service == service && now < state.spared_until) {
+      out.insert(id);
+    }
+  }
+  return out;
+}
+
+std::optional<duration> server_list::spared_for(const std::string& service,
+                                                time_point now) const {
+  std::optional<duration> out;
+  for (const auto& [id, state] : servers_) {
+    if (state.listed.service == service && !state.listed.leaving &&
+        now < state.spared_until) {
+      const duration left = state.spared_until - now;
+      out = out ? std::min(*out, left) : left;
+    }
+  }
+  return out;
+}
+
 std::vector<listed_server> server_list::all() const {
   std::vector<listed_server> out;
   out.reserve(servers_.size());
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -26,6 +26,14 @@
   /// A server that had no memory or place is taken for full for so long; about
   /// the time in which one of its requests ends.
   duration full_lifetime = milliseconds(50);
+  /// A server that said that it leaves is believed for so long unless the
+  /// directory lists it anew. Servers end within seconds of saying so.
+  duration leaving_lifetime = seconds(60);
+  /// Requests that are on their way may still reach a server that asked to be
+  /// spared; nothing is sent later than this.
+  duration spare_grace = milliseconds(350);
+  /// Requests that already hold memory at a server which asked to be spared.
+  std::int64_t max_sends_while_spared = 2;
 };
 
 /// What is asked of a server.
@@ -63,7 +71,7 @@
   server_list(server_list_options options, std::uint64_t seed);
 
   /// Takes what the directory lists now. Returns whether it differs.
-  bool replace(const std::vector<listed_server>& listed);
+  bool replace(const std::vector<listed_server>& listed, time_point now);
   bool empty() const { return servers_.empty(); }
   std::size_t leaving() const;
   std::size_t size() const { return servers_.size(); }
@@ -89,14 +97,33 @@
   std::vector<listed_server> all() const;
   /// Returns the servers of a service.
   std::vector<listed_server> of_service(const std::string& service) const;
+  /// The server itself, or another process that heard it, said that it leaves.
+  /// Returns whether that is news.
+  bool leaves(const std::string& id, time_point now);
+  /// The server asked this process to send nothing for a span.
+  void spare(const std::string& id, duration span, time_point now);
+  /// Returns whether a request that holds memory at the server may be sent.
+  bool may_send(const std::string& id, time_point now) const;
+  /// Returns the servers of a service that asked to be spared.
+  std::set<std::string> spared(const std::string& service,
+                               time_point now) const;
+  /// Returns how long it takes until one of the service's servers that asked to
+  /// be spared may be used again; nothing when no server did.
+  std::optional<duration> spared_for(const std::string& service,
+                                     time_point now) const;
   /// A response told the load.
   void reported(const std::string& id, const server_load& load, time_point now);
-  /// The server said that it isn't the one that is listed, or that it leaves.
+  /// The server said that it isn't the one that is listed.
   void distrust(const std::string& id, time_point now);
 
  private:
   struct server_state {
-    listed_server listed;
+    listed_server listed;  // as listed, or leaving by its own word
+    bool listed_leaving = false;
+    time_point leaving_until{};  // by its own word
+    time_point spared_at{};      // when it asked for that
+    time_point spared_until{};
+    std::int64_t sent_while_spared = 0;
     std::int64_t in_flight = 0;
     std::int64_t tokens = 0;  // of the requests in flight
     std::optional<server_load> load;
@@ -111,6 +138,10 @@
               time_point now);
   static bool is_full(const server_state& state, const server_need& need,
                       time_point now);
+  bool is_spared(const server_state& state, time_point now) const {
+    return now < state.spared_until &&
+           now >= state.spared_at + options_.spare_grace;
+  }
 
   server_list_options options_;
   std::mt19937_64 random_;
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -62,7 +62,9 @@
     }
     for (stage_order& order :
          planner_.plan(service, servers_.of_service(service), now)) {
-      give(std::move(order), profile);
+      if (servers_.may_send(order.server, now)) {
+        give(std::move(order), profile);
+      }
     }
   }
   timer_.expires_after(interval);
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -22,7 +22,9 @@
 // Silence after which a resumable stream goes on elsewhere. Callers leave
 // after two seconds at the earliest.
 constexpr duration first_event_timeout = milliseconds(1200);
-constexpr duration gap_timeout = milliseconds(900);
+constexpr duration min_gap_timeout = milliseconds(900);
+// Where the route bears longer gaps: that many times its objective.
+constexpr std::int64_t gap_timeout_objectives = 3;
 // Callers whose stream has begun wait for two seconds at least for it to go on:
 // for memory, and for an engine to read the prompt and what was generated.
 constexpr duration max_resume_wait = milliseconds(900);
@@ -119,6 +121,16 @@
     return engine ? events_ * engine->tokens_per_event : 0;
   }
 
+  bool may_send(const listed_server& server) {
+    return environment().servers.may_send(server.id, runtime_clock::now());
+  }
+
+  // An engine asked to be spared since it was chosen.
+  void search_again(const listed_server& spared) {
+    note(fmt::format("spared({})", spared.id));
+    search(placement_class::under_way, runtime_clock::now() + max_resume_wait);
+  }
+
   void on_found(const found_engines& found) {
     engines_ = found;
     if (found.prefill && export_.handle.empty()) {
@@ -129,6 +141,10 @@
   }
 
   void start_prefill(const listed_server& server) {
+    if (!may_send(server)) {
+      search_again(server);
+      return;
+    }
     prefill_ = server;
     prefill_started_ = runtime_clock::now();
     note(fmt::format("prefill({})", server.id));
@@ -167,6 +183,7 @@
       }
       return;
     }
+    take_signs(environment(), prefill_.id, *response);
     if (response->status != status_ok) {
       note(fmt::format("prefill_refused({})", response->status));
       end_call(server_result::refused);
@@ -206,6 +223,10 @@
 
   void start_decode() {
     const listed_server& server = engines_.decode;
+    if (!may_send(server)) {
+      search_again(server);
+      return;
+    }
     ++sends_;
     may_be_running_ = true;
     last_server_ = server.id;
@@ -286,10 +307,11 @@
   void on_head(const http_response& head) {
     head_ = head;
     report_.sent = true;
-    const server_answer answer = environment().codec.read_answer(head);
-    if (answer.load) {
-      environment().servers.reported(last_server_, *answer.load,
-                                     runtime_clock::now());
+    const server_answer answer = take_signs(environment(), last_server_, head);
+    if (answer.status == status_ok && !answer.signed_by) {
+      note("unsigned");
+      settle(server_result::failed);
+      return;
     }
     if (answer.status == status_ok) {
       environment().servers.answers(last_server_);
@@ -313,7 +335,16 @@
         return;
       }
     }
-    watch(gap_timeout);
+    // A stalled engine may still send a byte now and then.
+    if (!events.empty()) {
+      watch(gap_timeout());
+    }
+  }
+
+  duration gap_timeout() const {
+    return std::max<duration>(
+        min_gap_timeout,
+        milliseconds(gap_timeout_objectives * route().gap_objective_ms));
   }
 
   // Returns whether the stream goes on.
@@ -441,9 +472,8 @@
     }
     // The engine frees it by itself before long, so that a lost call is no
     // matter; the pool keeps the call until it ends.
-    environment().pool.run_detached(
-        call_to(prefill_.address),
-        environment().codec.drop_prefill(export_.handle));
+    tell(environment(), prefill_,
+         environment().codec.drop_prefill(export_.handle));
     export_ = {};
   }
 
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -316,7 +316,8 @@
   server_list servers({}, 1);
   servers.replace(
       {engine("p1", engine_stage::prefill), engine("d1", engine_stage::decode),
-       engine("d2", engine_stage::decode), engine("d3", engine_stage::decode)});
+       engine("d2", engine_stage::decode), engine("d3", engine_stage::decode)},
+      start);
   std::map<std::string, int> chosen;
   for (int sent = 0; sent < 9; ++sent) {
     const auto each = servers.choose(need_of(engine_stage::decode), start);
@@ -333,17 +334,73 @@
   server_list servers({}, 1);
   listed_server leaving = engine("d1", engine_stage::decode);
   leaving.leaving = true;
-  servers.replace({leaving, engine("d2", engine_stage::decode)});
+  servers.replace({leaving, engine("d2", engine_stage::decode)}, start);
   servers.switching("d2", seconds(6), start);
   BOOST_TEST(!servers.choose(need_of(engine_stage::decode), start));
   BOOST_TEST(servers.choose(need_of(engine_stage::decode), start + seconds(7))
                  ->server.id == "d2");
 }
 
+// The directory lags behind what a server says, and lists it as ready again
+// only once it has come back under the same id.
+BOOST_AUTO_TEST_CASE(a_server_that_says_it_leaves_gets_nothing) {
+  const listed_server ready = engine("d1", engine_stage::decode);
+  listed_server leaving = ready;
+  leaving.leaving = true;
+  server_list servers({}, 1);
+  servers.replace({ready}, start);
+  const auto usable = [&](time_point now) {
+    return servers.choose(need_of(engine_stage::decode), now).has_value();
+  };
+  BOOST_TEST(usable(start));
+  BOOST_TEST(servers.leaves("d1", start));
+  BOOST_TEST(!servers.leaves("d1", start));  // no news
+  BOOST_TEST(!usable(start));
+  BOOST_TEST(servers.leaving() == 1U);
+  const time_point later = start + seconds(5);
+  servers.replace({ready}, later);
+  BOOST_TEST(!usable(later));
+  servers.replace({leaving}, later);
+  BOOST_TEST(!usable(later));
+  servers.replace({ready}, later + seconds(1));
+  BOOST_TEST(usable(later + seconds(1)));
+}
+
+// Load: a server in a burst asks to be spared for two seconds.
+BOOST_AUTO_TEST_CASE(a_server_that_asks_to_be_spared_gets_nothing_meanwhile) {
+  server_list servers({}, 1);
+  servers.replace(
+      {engine("d1", engine_stage::decode), engine("d2", engine_stage::decode)},
+      start);
+  servers.spare("d1", seconds(2), start);
+  BOOST_TEST(servers.spared("models", start).count("d1") == 1U);
+  BOOST_TEST(to_seconds(servers.spared_for("models", start).value()) == 2.0);
+  for (int sent = 0; sent < 20; ++sent) {
+    BOOST_TEST(
+        servers.choose(need_of(engine_stage::decode), start)->server.id ==
+        "d2");
+  }
+  // Nothing may reach it from half a second after its answer on, except two
+  // requests that hold memory there already.
+  server_need last_resort = need_of(engine_stage::decode);
+  last_resort.excluded = {"d2"};
+  const time_point half = start + milliseconds(400);
+  BOOST_TEST(!servers.choose(last_resort, half));
+  int sent = 0;
+  for (; servers.may_send("d1", half) && sent < 10; ++sent) {
+    servers.started("d1", 5000, half);
+  }
+  BOOST_TEST(sent == 2);
+  const time_point after = start + milliseconds(2001);
+  BOOST_TEST(servers.choose(last_resort, after).has_value());
+  BOOST_TEST(!servers.spared_for("models", after));
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_server_is_left_alone_until_it_answers) {
   server_list servers({}, 1);
   servers.replace(
-      {engine("d1", engine_stage::decode), engine("d2", engine_stage::decode)});
+      {engine("d1", engine_stage::decode), engine("d2", engine_stage::decode)},
+      start);
   const server_need need = need_of(engine_stage::decode);
   servers.started("d1", 5000, start);
   BOOST_TEST(
@@ -560,6 +617,28 @@
   }
 }
 
+// Load: fast engines with long answers; both stages could bear twice as much. A
+// switch would cost an engine for seconds and leave one to read all prompts.
+BOOST_AUTO_TEST_CASE(no_engine_moves_while_both_stages_have_room) {
+  std::vector<listed_server> engines;
+  constexpr int count = 12;
+  engines.reserve(count);
+  for (int at = 0; at < count; ++at) {
+    engines.push_back(
+        engine("e" + std::to_string(at),
+               at < 5 ? engine_stage::prefill : engine_stage::decode));
+  }
+  for (const engine_load& load :
+       {engine_load{0.13, 2.3}, engine_load{1.3, 3.4}, engine_load{2.4, 2.0}}) {
+    stage_planner planner({});
+    time_point now = start;
+    for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
+      planner.report("models", load, now);
+      BOOST_TEST(planner.plan("models", engines, now).empty());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_engine_moves_in_a_burst_or_without_load) {
   stage_planner planner({});
   const std::vector<listed_server> engines{
