Prompts are read where no stream suffers; stages move by shortage

Cause: the speed of prefills was learned as the least span less a latency of 40 ms. Engines with a latency under 1 ms seemed many times too fast: demand for prefill engines 0.4 where it was 1.6, so that four of five were ordered to decode, and prompts went to decode engines, whose streams paused for it. A prefill engine that was full for the moment was left alone for 0.6 to 4 s. Change: prefill_speed fits latency and speed to the shortest spans of each size; streams' speed is learned from the first one on, and outlives a change of leader; a prompt goes between streams only within their gap objective; a prefill engine without room is tried again after 60 ms, another one meanwhile; engines switch only where a stage lacks room for twice its load.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -55,18 +55,22 @@
     each.reading_until = time_point{};
   }
   for (auto& [name, each] : services_) {
-    const engine_profile profile = each.profile;
-    each = service{};
-    each.profile = profile;
+    service fresh;
+    fresh.profile = each.profile;
+    // Engines are as fast as before, whoever leads.
+    fresh.tokens_per_second = each.tokens_per_second;
+    fresh.metered_streams = each.metered_streams;
+    fresh.prefill = each.prefill;
+    each = std::move(fresh);
   }
 }
 
 engine_scheduler::service& engine_scheduler::service_named(
     const std::string& name) {
   service& of = services_[name];
-  if (of.tokens_per_second == 0) {
+  if (!of.prefill) {
     of.tokens_per_second = options_.initial_tokens_per_second;
-    of.prefill_s_per_token = options_.initial_prefill_s_per_token;
+    of.prefill.emplace(options_.prefill);
   }
   return of;
 }
@@ -196,22 +200,30 @@
   }
   service& of = service_named(found->second.service);
   if (in.output_tokens >= min_metered_output && in.span_us > 0) {
-    const double seen = static_cast<double>(in.output_tokens) /
-                        to_seconds(from_microseconds(in.span_us));
-    of.tokens_per_second += speed_weight * (seen - of.tokens_per_second);
+    take_stream(of, static_cast<double>(in.output_tokens) /
+                        to_seconds(from_microseconds(in.span_us)));
   }
   drop_lease(key);
 }
 
-// The shortest prefills tell an engine's speed: others waited there.
+// The first streams count as much as later ones, so that the guess at the start
+// is soon forgotten.
+void engine_scheduler::take_stream(service& of, double tokens_per_second) {
+  ++of.metered_streams;
+  const double weight =
+      std::max(speed_weight, 1.0 / static_cast<double>(of.metered_streams));
+  of.tokens_per_second += weight * (tokens_per_second - of.tokens_per_second);
+}
+
+duration engine_scheduler::busy_latency(const service& of) const {
+  return from_seconds(options_.busy_latency_share *
+                      to_seconds(of.prefill->latency()));
+}
+
 void engine_scheduler::take_prefill(engine& at, const engine_observation& in) {
   service& of = service_named(at.listed.service);
-  const double read_s =
-      to_seconds(from_microseconds(in.span_us) - options_.prefill_latency);
-  if (in.tokens >= min_metered_prompt && read_s > 0) {
-    const double own = read_s / static_cast<double>(in.tokens);
-    of.prefill_s_per_token =
-        std::min(own, of.prefill_s_per_token * (1 + speed_weight));
+  if (in.tokens >= min_metered_prompt && in.span_us > 0) {
+    of.prefill->take(in.tokens, from_microseconds(in.span_us));
   }
   if (in.predicted_us > 0) {
     const double ratio =
@@ -223,7 +235,11 @@
 
 void engine_scheduler::take_pace(engine& at, const engine_observation& in,
                                  time_point now) {
-  const service& of = service_named(at.listed.service);
+  service& of = service_named(at.listed.service);
+  if (of.metered_streams == 0 && in.span_us > 0) {
+    of.tokens_per_second = static_cast<double>(in.tokens) /
+                           to_seconds(from_microseconds(in.span_us));
+  }
   const double usual_s = static_cast<double>(in.tokens) / of.tokens_per_second;
   if (to_seconds(from_microseconds(in.span_us)) >
       options_.max_pace_ratio * usual_s) {
@@ -252,6 +268,9 @@
     case engine_sign::full:
       at.full_until = now + options_.full_lifetime;
       return std::nullopt;
+    case engine_sign::exports_full:
+      at.exports_full_until = now + options_.full_lifetime;
+      return std::nullopt;
     case engine_sign::failed:
       return at.ejected.failed(false, options_.eject, now);
     case engine_sign::silent:
@@ -403,14 +422,31 @@
 
 duration engine_scheduler::read_span(const service& of,
                                      const placement_ask& ask) {
-  return from_seconds(of.prefill_s_per_token *
+  return from_seconds(of.prefill->s_per_token() *
                       static_cast<double>(ask.prompt_tokens));
 }
 
 // Until the first event, where the decode engine reads the prompt.
 duration engine_scheduler::own_prefill_wait(const service& of,
                                             const placement_ask& ask) const {
-  return options_.prefill_latency + read_span(of, ask) * 2;
+  return of.prefill->latency() + read_span(of, ask) * 2;
+}
+
+// A decode engine reads a prompt in pieces between the steps of its streams: no
+// event of a stream that runs there comes before the prompt is read, nor before
+// those that it reads already.
+bool engine_scheduler::keeps_gaps(const service& of, const engine& decode,
+                                  const placement_ask& ask,
+                                  time_point now) const {
+  if (ask.gap_us <= 0 || decode.leases.empty()) {
+    return true;
+  }
+  const duration event = from_seconds(
+      static_cast<double>(of.profile.tokens_per_event) / of.tokens_per_second);
+  const duration gap = event + read_span(of, ask) * 2 +
+                       std::max(duration{}, decode.reading_until - now);
+  return to_seconds(gap) <=
+         options_.max_gap_share * to_seconds(from_microseconds(ask.gap_us));
 }
 
 engine_scheduler::prefill_choice engine_scheduler::choose_prefill(
@@ -422,15 +458,19 @@
   if (!ask.split) {
     return best;
   }
-  duration best_cost = best.wait + options_.own_prefill_penalty +
-                       std::max(duration{}, decode.reading_until - now);
+  duration best_cost =
+      best.wait +
+      (keeps_gaps(of, decode, ask, now) ? options_.own_prefill_penalty
+                                        : options_.gap_penalty) +
+      std::max(duration{}, decode.reading_until - now);
   for (auto& [id, each] : engines_) {
     if (!serves(each, ask, engine_stage::prefill) || !usable(each, now) ||
-        each.exports.holds(now) || ask.excluded.count(id) != 0) {
+        each.exports.holds(now) || now < each.exports_full_until ||
+        ask.excluded.count(id) != 0) {
       continue;
     }
     const duration queue = std::max(duration{}, each.reading_until - now);
-    const duration wait = queue + options_.prefill_latency +
+    const duration wait = queue + of.prefill->latency() +
                           from_seconds(to_seconds(read) * each.slowness);
     const bool near =
         each.listed.failure_domain == decode.listed.failure_domain;
@@ -473,8 +513,8 @@
   duration read = prefill.wait;
   if (prefill.at != nullptr) {
     out.prefill = to_granted(reader.listed);
-    read = options_.prefill_overhead +
-           from_seconds(of.prefill_s_per_token * reader.slowness *
+    read = busy_latency(of) +
+           from_seconds(of.prefill->s_per_token() * reader.slowness *
                         static_cast<double>(ask.prompt_tokens));
     reader.exports.tried(options_.eject, now);
     reader.ejected.tried(options_.eject, now);
@@ -549,7 +589,7 @@
   for (const auto& [id, each] : engines_) {
     if (serves(each, ask, engine_stage::prefill) && usable(each, now)) {
       best = std::min(best, std::max(duration{}, each.reading_until - now) +
-                                options_.prefill_latency + read_span(of, ask));
+                                of.prefill->predict(ask.prompt_tokens));
     }
   }
   return best;
@@ -750,10 +790,10 @@
     prompt_tokens += static_cast<double>(each.prompt_tokens);
   }
   engine_load out;
-  out.prefill = (prompt_tokens * of.prefill_s_per_token +
-                 static_cast<double>(of.arrivals.size()) *
-                     to_seconds(options_.prefill_overhead)) /
-                to_seconds(arrival_window);
+  out.prefill =
+      (prompt_tokens * of.prefill->s_per_token() +
+       static_cast<double>(of.arrivals.size()) * to_seconds(busy_latency(of))) /
+      to_seconds(arrival_window);
   double held = of.fresh.waiting_cost() + of.returned.waiting_cost();
   for (const auto& [key, each] : leases_) {
     if (each.service == name) {
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "gateway/codec.h"
 #include "gateway/ejection.h"
+#include "gateway/prefill_speed.h"
 #include "policy/fair_queue.h"
 #include "wire/placement_messages.h"
 
@@ -26,16 +27,21 @@
   /// Speed of a stream until the first one has ended; a batch of ten on a large
   /// model.
   double initial_tokens_per_second = 230;
-  /// Speed of a prefill until the first one has ended.
-  double initial_prefill_s_per_token = 20e-6;
-  /// Latency of a prefill beside the reading of its tokens.
-  duration prefill_latency = milliseconds(40);
-  /// Of that, what the engine is busy with.
-  duration prefill_overhead = milliseconds(10);
+  /// Speed of prefills.
+  prefill_speed_options prefill;
+  /// Share of a prefill's latency that keeps its engine busy.
+  double busy_latency_share = 0.25;
   /// A decode engine reads a prompt at half the speed, and slows its streams
   /// down meanwhile: it does so when that is sooner by this much, one prompt at
   /// a time.
   duration own_prefill_penalty = milliseconds(250);
+  /// Share of the gap objective that a prompt read between the events of an
+  /// engine's streams may take up, the event itself included. The rest covers
+  /// what the ledger doesn't see.
+  double max_gap_share = 0.85;
+  /// Where that would be more, the prompt goes to a decode engine only if this
+  /// is sooner than any prefill engine: every stream there comes late by it.
+  duration gap_penalty = seconds(2);
   /// A prefill engine in another failure domain than the decode engine costs
   /// transfers; it is taken when it is sooner by this much.
   duration distance_penalty = milliseconds(40);
@@ -139,7 +145,8 @@
     listed_server listed;
     std::set<lease_key> leases;
     time_point reading_until{};  // the prompts that it was given
-    double slowness = 1;         // of prefills, against the predicted time
+    time_point exports_full_until{};
+    double slowness = 1;  // of prefills, against the predicted time
     ejection ejected;
     ejection exports;  // ejected as the source of KV caches
     time_point full_until{};
@@ -162,7 +169,8 @@
     service();
     engine_profile profile;
     double tokens_per_second = 0;
-    double prefill_s_per_token = 0;
+    std::int64_t metered_streams = 0;  // that the speed is learned from
+    std::optional<prefill_speed> prefill;
     std::deque<std::uint64_t> under_way;  // numbers of asks
     fair_queue fresh;
     fair_queue returned;
@@ -177,6 +185,8 @@
   };
 
   service& service_named(const std::string& name);
+  duration busy_latency(const service& of) const;
+  static void take_stream(service& of, double tokens_per_second);
   void take_prefill(engine& at, const engine_observation& in);
   void take_pace(engine& at, const engine_observation& in, time_point now);
   double generated(const lease& of, double per_second, time_point now) const;
@@ -191,6 +201,8 @@
                                        time_point now);
   static duration read_span(const service& of, const placement_ask& ask);
   duration own_prefill_wait(const service& of, const placement_ask& ask) const;
+  bool keeps_gaps(const service& of, const engine& decode,
+                  const placement_ask& ask, time_point now) const;
   prefill_choice choose_prefill(const service& of, const engine& decode,
                                 const placement_ask& ask, time_point now);
   std::optional<placement_grant> place(service& of, const waiting_ask& waiting,
--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -39,9 +39,19 @@
   return out;
 }
 
-// Both stages are to have the same room for a growing load.
-std::size_t stage_planner::target(const sample& demand,
-                                  std::size_t engines) const {
+// An engine that switches serves nobody for seconds, so that none does while
+// both stages have room for a burst. Where they can't, both are to have the
+// same room for their demand.
+std::size_t stage_planner::target(const sample& demand, std::size_t engines,
+                                  std::size_t prefilling) const {
+  const auto needed = [this](double of) {
+    return static_cast<std::size_t>(std::ceil(options_.burst_factor * of));
+  };
+  const std::size_t prefill = needed(demand.prefill);
+  const std::size_t decode = needed(demand.decode);
+  if (prefill + decode <= engines) {
+    return std::clamp<std::size_t>(prefilling, prefill, engines - decode);
+  }
   const double share = demand.prefill / (demand.prefill + demand.decode);
   const auto wanted = static_cast<std::size_t>(
       std::round(share * static_cast<double>(engines)));
@@ -85,7 +95,7 @@
   if (staged.size() < 2 || demand.prefill + demand.decode < known) {
     return {};
   }
-  const std::size_t wanted = target(demand, staged.size());
+  const std::size_t wanted = target(demand, staged.size(), prefilling);
   const auto decoding = static_cast<double>(staged.size() - prefilling);
   const bool decode_has_room =
       demand.decode < options_.max_decode_use * decoding;
--- a/src/gateway/stage_planner.h
+++ b/src/gateway/stage_planner.h
@@ -15,6 +15,9 @@
 namespace citronwharf {
 
 struct stage_planner_options {
+  /// Load to be ready for, as a multiple of the present one: a burst comes and
+  /// goes within the time that a switch takes.
+  double burst_factor = 2;
   /// Demand below this share of the engines says nothing of the ratio.
   double min_demand_share = 0.2;
   /// Demand is averaged over this.
@@ -76,7 +79,8 @@
   };
 
   static sample average(const demand_of& of, time_point now);
-  std::size_t target(const sample& demand, std::size_t engines) const;
+  std::size_t target(const sample& demand, std::size_t engines,
+                     std::size_t prefilling) const;
   engine_stage stage_of(const listed_server& server, time_point now) const;
 
   stage_planner_options options_;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -40,6 +40,9 @@
 // Events that tell an engine's pace: enough to cover a prompt that it reads
 // between them.
 constexpr std::int64_t paced_events = 5;
+// Prefill engines that are tried after one that had no room. Each costs a
+// round trip and a part of the retry budget.
+constexpr int max_prefill_refusals = 2;
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -110,6 +113,7 @@
     need.ask.output_tokens = std::max(output_tokens_ - made_tokens(),
                                       output_tokens_ / outgrown_divisor);
     need.ask.split = sends_ == 0 && !last_event_ && export_.handle.empty();
+    need.ask.gap_us = to_microseconds(milliseconds(route().gap_objective_ms));
     need.ask.excluded = tried_;
     need.until = std::min(until, request().deadline);
     search_.start(std::move(need));
@@ -187,8 +191,7 @@
     if (response->status != status_ok) {
       note(fmt::format("prefill_refused({})", response->status));
       end_call(server_result::refused);
-      search_.observe(prefill_.id, engine_sign::unreachable);
-      prefill_failed();
+      prefill_refused(response->status);
       return;
     }
     end_call(server_result::served);
@@ -208,6 +211,20 @@
     start_decode();
   }
 
+  // Nothing has run. Another prefill engine may have room: a decode engine that
+  // reads the prompt holds up its streams.
+  void prefill_refused(int status) {
+    search_.observe(prefill_.id, status == status_unavailable
+                                     ? engine_sign::exports_full
+                                     : engine_sign::unreachable);
+    if (++prefill_refusals_ > max_prefill_refusals || !take_budget()) {
+      prefill_failed();
+      return;
+    }
+    search(placement_class::under_way,
+           request().received + milliseconds(route().objective_ms));
+  }
+
   // Nothing has run. The first prefill that an engine accepts is no extra send,
   // but one that fails is.
   void prefill_failed() {
@@ -330,7 +347,8 @@
       error_body_ += part;
       return;
     }
-    for (const stream_event& event : splitter_.feed(part)) {
+    const auto events = splitter_.feed(part);
+    for (const stream_event& event : events) {
       if (!relay(event)) {
         return;
       }
@@ -523,6 +541,7 @@
   std::int64_t output_tokens_ = 0;  // expected
   listed_server prefill_;
   time_point prefill_started_{};
+  int prefill_refusals_ = 0;
   exported_prefill export_;  // handle "" without one
   time_point exported_at_{};
   listed_server cached_at_;  // an engine that has read the prompt, or none
--- a/src/wire/placement_messages.h
+++ b/src/wire/placement_messages.h
@@ -35,10 +35,12 @@
   std::int64_t output_tokens = 0;  ///< expected
   bool split = false;              ///< a prefill engine may read the prompt
   std::int64_t max_wait_us = 0;    ///< for the first event
+  std::int64_t gap_us = 0;         ///< objective between events; 0: none
   std::set<std::string> excluded;  ///< ids of engines that failed it
 };
 CITRONWHARF_VALUE(placement_ask, id, service, organisation, prompt, turn,
-                  prompt_tokens, output_tokens, split, max_wait_us, excluded)
+                  prompt_tokens, output_tokens, split, max_wait_us, gap_us,
+                  excluded)
 
 /// An engine as a grant names it.
 struct granted_engine {
@@ -98,7 +100,8 @@
   failed,       ///< reset or broke off
   silent,       ///< no answer in time
   unreachable,  ///< no connection, or another server answers there
-  export_gone   ///< a KV cache was lost well within its lifetime
+  export_gone,  ///< a KV cache was lost well within its lifetime
+  exports_full  ///< has no memory for another prompt
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(engine_sign,
                              {{engine_sign::prefilled, "prefilled"},
@@ -108,7 +111,8 @@
                               {engine_sign::failed, "failed"},
                               {engine_sign::silent, "silent"},
                               {engine_sign::unreachable, "unreachable"},
-                              {engine_sign::export_gone, "export_gone"}})
+                              {engine_sign::export_gone, "export_gone"},
+                              {engine_sign::exports_full, "exports_full"}})
 
 struct engine_observation {
   static constexpr const char* type_name = "engine_observation";
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -283,6 +283,58 @@
   BOOST_TEST(own >= 6);
 }
 
+// Load: prompts queue at the only prefill engine while streams run. A decode
+// engine that read a long one between their events would hold them all up for
+// longer than their gap objective.
+BOOST_AUTO_TEST_CASE(a_long_prompt_is_not_read_between_streams) {
+  struct row {
+    std::int64_t prompt_tokens;
+    std::int64_t gap_ms;
+    bool own;
+  };
+  const row rows[] = {{9000, 300, false},
+                      {9000, 2000, true},
+                      {2500, 300, true},
+                      {9000, 0, true}};
+  for (const row& each : rows) {
+    engine_scheduler scheduler = make_scheduler(1, 1);
+    scheduler.ask("g1", ask_for(1, 2000), start);
+    BOOST_TEST(only(scheduler.decide(start)).prefill.id == "p0");
+    const time_point now = start + seconds(1);
+    // Nearly two seconds of prompts wait at the prefill engine.
+    for (std::uint64_t id = 2; id <= 11; ++id) {
+      placement_ask other = ask_for(id, 9000, 10);
+      other.gap_us = to_microseconds(milliseconds(300));
+      scheduler.ask("g1", other, now);
+      scheduler.decide(now);
+      placement_release ended;
+      ended.id = id;
+      scheduler.release("g1", ended);
+    }
+    placement_ask ask = ask_for(12, each.prompt_tokens);
+    ask.gap_us = to_microseconds(milliseconds(each.gap_ms));
+    scheduler.ask("g1", ask, now);
+    const placement_grant grant = only(scheduler.decide(now));
+    BOOST_TEST(grant.prefill.id.empty() == each.own,
+               each.prompt_tokens << " tokens, " << each.gap_ms << " ms");
+  }
+}
+
+// Load: exports fill a prefill engine's memory for the moment; they are fetched
+// within milliseconds.
+BOOST_AUTO_TEST_CASE(a_prefill_engine_without_room_is_used_again_soon) {
+  engine_scheduler scheduler = make_scheduler(1, 4);
+  engine_observation seen;
+  seen.server = "p0";
+  seen.sign = engine_sign::exports_full;
+  scheduler.observe(seen, start);
+  scheduler.ask("g1", ask_for(1), start);
+  BOOST_TEST(only(scheduler.decide(start)).prefill.id == "");
+  const time_point soon = start + milliseconds(100);
+  scheduler.ask("g1", ask_for(2), soon);
+  BOOST_TEST(only(scheduler.decide(soon)).prefill.id == "p0");
+}
+
 BOOST_AUTO_TEST_CASE(a_prefill_engine_near_the_decode_engine_is_preferred) {
   engine_scheduler scheduler({});
   engine_profile profile;
