Decode demand is known by arrivals; a lost prefill goes to another engine

Load: a burst six seconds after the start. Demand was what the ledger held, so that idle prefill engines were ordered to decode seconds too late, and were switching at the peak. Change: demand is also arrivals by the span that each holds memory; the first second of a load is no measure. A prefill that breaks off is read by another prefill engine, not between the streams of a decode engine. After a run that may have taken the KV cache, the prompt is fetched from that engine.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -237,8 +237,10 @@
                                  time_point now) {
   service& of = service_named(at.listed.service);
   if (of.metered_streams == 0 && in.span_us > 0) {
-    of.tokens_per_second = static_cast<double>(in.tokens) /
-                           to_seconds(from_microseconds(in.span_us));
+    // One that is slower than the guess may be ill.
+    of.tokens_per_second = std::max(
+        of.tokens_per_second, static_cast<double>(in.tokens) /
+                                  to_seconds(from_microseconds(in.span_us)));
   }
   const double usual_s = static_cast<double>(in.tokens) / of.tokens_per_second;
   if (to_seconds(from_microseconds(in.span_us)) >
@@ -782,6 +784,22 @@
   return out;
 }
 
+// Tokens that the arrivals of the last second come to hold if they go on like
+// this, by their rate and the span for which each holds memory. Known before
+// generations have filled the engines, and whether they got memory or not.
+double engine_scheduler::expected_hold(const service& of) {
+  double held = 0;
+  for (const arrival& each : of.arrivals) {
+    const double output =
+        static_cast<double>(each.fresh_tokens - each.prompt_tokens);
+    if (output > 0) {
+      held += static_cast<double>(each.fresh_tokens) * output /
+              of.tokens_per_second;
+    }
+  }
+  return held / to_seconds(arrival_window);
+}
+
 engine_load engine_scheduler::load(const std::string& name, time_point now) {
   service& of = service_named(name);
   forget_old_arrivals(of, now);
@@ -800,6 +818,7 @@
       held += static_cast<double>(each.prompt_tokens + each.output_tokens);
     }
   }
+  held = std::max(held, expected_hold(of));
   if (of.profile.kv_tokens > 0) {
     out.decode = held / static_cast<double>(of.profile.kv_tokens);
   }
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -212,6 +212,7 @@
                       time_point now) const;
   static void forget_old_arrivals(service& of, time_point now);
   static double fresh_rate(service& of, time_point now);
+  static double expected_hold(const service& of);
   duration min_prefill_wait(const service& of, const placement_ask& ask,
                             time_point now) const;
   duration predicted_wait(const std::string& name, service& of,
--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -16,12 +16,15 @@
 void stage_planner::report(const std::string& service, const engine_load& in,
                            time_point now) {
   demand_of& of = demand_[service];
-  if (of.samples.empty() && in.prefill <= 0) {
+  if (of.since == time_point{} && in.prefill <= 0) {
     return;
   }
-  if (of.samples.empty()) {
+  if (of.since == time_point{}) {
     of.since = now;
   }
+  if (now - of.since < options_.ramp) {
+    return;
+  }
   of.samples.push_back({now, in.prefill, in.decode});
   while (now - of.samples.front().at > options_.demand_window) {
     of.samples.pop_front();
@@ -75,7 +78,8 @@
     return {};
   }
   const sample demand = average(found->second, now);
-  if (now - found->second.since < options_.settling || demand.prefill <= 0 ||
+  if (found->second.samples.empty() ||
+      now - found->second.since < options_.settling || demand.prefill <= 0 ||
       demand.decode <= 0) {
     return {};
   }
--- a/src/gateway/stage_planner.h
+++ b/src/gateway/stage_planner.h
@@ -22,6 +22,8 @@
   double min_demand_share = 0.2;
   /// Demand is averaged over this.
   duration demand_window = seconds(6);
+  /// The first second of a load that is measured over a second is no measure.
+  duration ramp = seconds(1);
   /// Demand is trusted after there was some for so long.
   duration settling = seconds(2);
   /// An order is not repeated before it was surely carried out or lost: orders
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -40,9 +40,9 @@
 // Events that tell an engine's pace: enough to cover a prompt that it reads
 // between them.
 constexpr std::int64_t paced_events = 5;
-// Prefill engines that are tried after one that had no room. Each costs a
-// round trip and a part of the retry budget.
-constexpr int max_prefill_refusals = 2;
+// Prefill engines that are tried after one that had no room or broke off. Each
+// costs a round trip and a part of the retry budget.
+constexpr int max_failed_prefills = 2;
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -177,13 +177,13 @@
       search_.observe(prefill_.id,
                       sent ? engine_sign::failed : engine_sign::unreachable);
       end_call(sent ? server_result::failed : server_result::unreachable);
-      if (sent) {
-        prefill_failed();
-      } else {
-        // Nothing was sent: another engine may read the prompt.
-        tried_.insert(prefill_.id);
+      tried_.insert(prefill_.id);
+      if (!sent || may_prefill_again()) {
+        // Another engine may read the prompt.
         search(placement_class::under_way,
                request().received + milliseconds(route().objective_ms));
+      } else {
+        prefill_failed();
       }
       return;
     }
@@ -217,7 +217,7 @@
     search_.observe(prefill_.id, status == status_unavailable
                                      ? engine_sign::exports_full
                                      : engine_sign::unreachable);
-    if (++prefill_refusals_ > max_prefill_refusals || !take_budget()) {
+    if (!may_prefill_again()) {
       prefill_failed();
       return;
     }
@@ -225,6 +225,10 @@
            request().received + milliseconds(route().objective_ms));
   }
 
+  bool may_prefill_again() {
+    return ++failed_prefills_ <= max_failed_prefills && take_budget();
+  }
+
   // Nothing has run. The first prefill that an engine accepts is no extra send,
   // but one that fails is.
   void prefill_failed() {
@@ -448,6 +452,9 @@
     if (report_.sent && !report_.not_run) {
       ++servers_run_;
       // The engine that may have run the request may have fetched it, too.
+      if (!export_.handle.empty()) {
+        cached_at_ = engines_.decode;
+      }
       export_ = {};
     } else if (!export_usable()) {
       drop_export();
@@ -541,7 +548,7 @@
   std::int64_t output_tokens_ = 0;  // expected
   listed_server prefill_;
   time_point prefill_started_{};
-  int prefill_refusals_ = 0;
+  int failed_prefills_ = 0;
   exported_prefill export_;  // handle "" without one
   time_point exported_at_{};
   listed_server cached_at_;  // an engine that has read the prompt, or none
