--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -1,8 +1,10 @@
 // A randomized soak: four gateways as real processes on loopback addresses,
-// killed, paused, drained and robbed of disks while operators publish and
-// callers send. CITRONWHARF_SOAK_SEEDS="1 2 3" plays other seeds,
-// CITRONWHARF_SOAK_SECONDS sets the length of one.
+// killed, paused, drained and robbed of disks while operators publish, callers
+// send, and servers leave, refuse and lose answers. CITRONWHARF_SOAK_SEEDS="1 2
+// 3" plays other seeds, CITRONWHARF_SOAK_SECONDS sets the length of one.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -25,6 +27,15 @@
 
 constexpr int gateways = 4;
 constexpr int with_disk = 3;
+constexpr int desks = 3;
+// A server that says that it leaves gets nothing sent later than this.
+constexpr std::chrono::milliseconds drain_bound(1500);
+// A server that asks to be spared, and how soon that is heeded.
+constexpr std::chrono::milliseconds spare_span(1000);
+constexpr std::chrono::milliseconds spare_grace(500);
+constexpr int max_sends_while_spared = 2;
+
+using steady = std::chrono::steady_clock;
 
 std::string id_of(const http_request& request) {
   return find_header(request.headers, "Citronwharf-Request-Id");
@@ -35,12 +46,20 @@
   explicit soak(std::uint64_t seed) : random_(seed) {
     list_.answers = [this](const http_request&,
                            std::unique_ptr<http_exchange> exchange) {
-      exchange->respond(list_of(json::array({listed("s1", "desk", desk_)})));
-    };
-    desk_.answers = [this](const http_request& request,
-                           std::unique_ptr<http_exchange> exchange) {
-      serve(request, std::move(exchange));
+      json entries = json::array();
+      for (const auto& each : desks_) {
+        entries.push_back(listed(each->id, "desk", each->server));
+      }
+      exchange->respond(list_of(entries));
     };
+    for (int at = 0; at < desks; ++at) {
+      desks_.push_back(std::make_unique<desk>(loop_, at));
+      desks_.back()->server.answers =
+          [this, at](const http_request& request,
+                     std::unique_ptr<http_exchange> exchange) {
+            serve(*desks_[at], request, std::move(exchange));
+          };
+    }
     for (int at = 0; at < gateways; ++at) {
       start(at, true);
     }
@@ -74,9 +93,28 @@
     bool once = false;
     int runs = 0;
     int status = -1;  // -1: no response yet
+    int gateway = 0;
+    steady::time_point sent;
     std::unique_ptr<http_call> call;
   };
 
+  // What a gateway was told by a server, until it restarts or is paused.
+  struct told {
+    std::optional<steady::time_point> leaving;
+    std::vector<steady::time_point> refused;
+    std::vector<steady::time_point> reached;
+  };
+
+  struct desk {
+    desk(boost::asio::io_context& loop, int at)
+        : server(loop), id(fmt::format("s{}", at)) {}
+    stand_in_server server;
+    std::string id;
+    bool leaving = false;
+    bool full = false;
+    std::map<int, told> by_gateway;
+  };
+
   static std::string host(int at) { return fmt::format("127.0.0.{}", at + 1); }
   static std::string name(int at) { return fmt::format("g{}", at + 1); }
   std::string address(int at, std::uint16_t port) const {
@@ -95,6 +133,7 @@
                     {"peers", address(at, peers_)},
                     {"admin", host(at) + ":0"}}},
                   {"limits", {{"drain_timeout_ms", 3000}}},
+                  {"control", {{"snapshot_entries", 8}, {"keep_entries", 2}}},
                   {"gateway",
                    {{"readiness", host(at) + ":0"},
                     {"operators", address(at, operators_)},
@@ -128,7 +167,11 @@
       paused_.reset();
     }
     const int at = draw(gateways);
-    switch (draw(5)) {
+    const int fault = draw(7);
+    if (fault < 4) {
+      forget_told(at);
+    }
+    switch (fault) {
       case 0:
         children_[at]->kill();
         start(at, false);
@@ -145,11 +188,53 @@
       case 3:
         wipe(at);
         return;
+      case 4:
+        leave(*desks_[draw(desks)]);
+        return;
+      case 5:
+        desks_[draw(desks)]->full ^= true;
+        return;
       default:
         loses_answers_ = !loses_answers_;
     }
   }
 
+  // At most one desk leaves at a time; it comes back under another id.
+  void leave(desk& in) {
+    for (const auto& each : desks_) {
+      if (each->leaving) {
+        check_told(*each);
+        each->leaving = false;
+        each->id += "+";
+        return;
+      }
+    }
+    in.leaving = true;
+  }
+
+  // A process that stood still or is new knows nothing of before.
+  void forget_told(int gateway) {
+    for (const auto& each : desks_) {
+      check_told(*each);
+      each->by_gateway.erase(gateway);
+    }
+  }
+
+  // Checks and forgets what the desk's refusals asked for.
+  static void check_told(desk& in) {
+    for (auto& [gateway, each] : in.by_gateway) {
+      for (const auto refused : each.refused) {
+        const auto late = std::count_if(
+            each.reached.begin(), each.reached.end(), [refused](auto reached) {
+              return reached > refused + spare_grace &&
+                     reached < refused + spare_span;
+            });
+        BOOST_TEST(late <= max_sends_while_spared);
+      }
+    }
+    in.by_gateway.clear();
+  }
+
   // A second disk may only be lost once the first replica is replaced.
   void wipe(int at) {
     if (at >= with_disk || wiped_) {
@@ -161,18 +246,40 @@
     start(at, false);
   }
 
-  void serve(const http_request& request,
+  void serve(desk& at, const http_request& request,
              std::unique_ptr<http_exchange> exchange) {
     sent_request& of = requests_[id_of(request)];
+    if (find_header(request.headers, "Citronwharf-Expect-Instance") != at.id) {
+      exchange->respond(reply(421, "", {{"Citronwharf-Not-Run", "1"}}));
+      return;
+    }
+    told& known = at.by_gateway[of.gateway];
+    known.reached.push_back(steady::now());
+    BOOST_TEST((!known.leaving || of.sent < *known.leaving + drain_bound));
+    if (at.full) {
+      known.refused.push_back(steady::now());
+      exchange->respond(reply(
+          503, "",
+          {{"Citronwharf-Not-Run", "1"},
+           {"Retry-After", fmt::format("{}", spare_span.count() / 1000)}}));
+      return;
+    }
     ++of.runs;
     BOOST_TEST(find_header(request.headers, "Citronwharf-Tenant") == "t1");
     BOOST_TEST(find_header(request.headers, "Authorization").empty());
     if (loses_answers_ && draw(4) == 0) {
       return;  // the exchange closes the connection
     }
-    exchange->respond(reply(200, id_of(request),
-                            {{"Citronwharf-Server-Stamp", "s"},
-                             {"Citronwharf-Request-Id", id_of(request)}}));
+    std::vector<header_field> headers{
+        {"Citronwharf-Server-Stamp", "s"},
+        {"Citronwharf-Request-Id", id_of(request)}};
+    if (at.leaving) {
+      headers.push_back({"Server-Leaving", "1"});
+      if (!known.leaving) {
+        known.leaving = steady::now();
+      }
+    }
+    exchange->respond(reply(200, id_of(request), std::move(headers)));
   }
 
   void publish() {
@@ -208,7 +315,9 @@
     const std::string id = fmt::format("q{}", ++last_id_);
     sent_request& of = requests_[id];
     of.once = path == "/c/";
-    http_call_options options{address(draw(gateways), callers_)};
+    of.gateway = draw(gateways);
+    of.sent = steady::now();
+    http_call_options options{address(of.gateway, callers_)};
     options.connect_timeout = milliseconds(300);
     options.idle_timeout = milliseconds(2000);
     of.call = fetch(loop_, options,
@@ -235,6 +344,12 @@
       paused_.reset();
     }
     loses_answers_ = false;
+    for (const auto& each : desks_) {
+      check_told(*each);
+      each->full = false;
+      each->id += each->leaving ? "+" : "";
+      each->leaving = false;
+    }
     BOOST_TEST(run_until(
         loop_,
         [&] {
@@ -290,7 +405,7 @@
   boost::asio::io_context loop_;
   run_folder folder_;
   stand_in_server list_{loop_};
-  stand_in_server desk_{loop_};
+  std::vector<std::unique_ptr<desk>> desks_;
   const std::uint16_t callers_ = free_port();
   const std::uint16_t peers_ = free_port();
   const std::uint16_t operators_ = free_port();
