Engines that have switched serve their new stage; no order is given twice

Cause: the directory shows a switch about two seconds after its end. Change: the notice of a switch names the stage; list and ledger go by it until the directory has had time to follow; the planner keeps what was announced over a change of leader. Tests: an_engine_that_has_switched_serves_its_new_stage, a_new_leader_repeats_no_order.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -93,6 +93,21 @@
                                             {engine_stage::prefill, "prefill"},
                                             {engine_stage::decode, "decode"}})
 
+/// A switch of an engine's stage that was announced. The directory shows it
+/// only a while after its end. Immutable.
+struct announced_switch {
+  engine_stage to = engine_stage::none;  ///< none: no switch
+  time_point until{};                    ///< the engine takes nothing
+
+  /// Returns the stage of an engine that the directory lists like this.
+  engine_stage stage_now(engine_stage listed, time_point now) const {
+    // The platform's lag and some reads of the list.
+    constexpr duration list_lag = seconds(3);
+    const bool unseen = now >= until && now < until + list_lag;
+    return to != engine_stage::none && unseen ? to : listed;
+  }
+};
+
 /// What an engine tells of itself on request.
 struct engine_report {
   std::uint64_t orders = 0;  ///< accepted since it started
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -100,11 +100,11 @@
   }
 }
 
-void engine_scheduler::switching(const std::string& engine, duration span,
-                                 time_point now) {
+void engine_scheduler::switching(const std::string& engine,
+                                 const announced_switch& in) {
   const auto found = engines_.find(engine);
   if (found != engines_.end()) {
-    found->second.switching_until = now + span;
+    found->second.switched = in;
   }
 }
 
@@ -379,13 +379,13 @@
 }
 
 bool engine_scheduler::serves(const engine& in, const placement_ask& ask,
-                              engine_stage stage) {
+                              engine_stage stage, time_point now) {
   return in.listed.service == ask.service && !in.listed.leaving &&
-         in.listed.stage == stage;
+         in.switched.stage_now(in.listed.stage, now) == stage;
 }
 
 bool engine_scheduler::usable(const engine& in, time_point now) {
-  return now >= in.switching_until && now >= in.outlier_until &&
+  return now >= in.switched.until && now >= in.outlier_until &&
          now >= in.slow_until && !in.ejected.holds(now);
 }
 
@@ -397,8 +397,9 @@
   const double limit =
       static_cast<double>(of.profile.kv_tokens) * options_.memory_share;
   for (auto& [id, each] : engines_) {
-    if (!serves(each, ask, engine_stage::decode) || now < each.full_until ||
-        !usable(each, now) || ask.excluded.count(id) != 0) {
+    if (!serves(each, ask, engine_stage::decode, now) ||
+        now < each.full_until || !usable(each, now) ||
+        ask.excluded.count(id) != 0) {
       continue;
     }
     const auto slots =
@@ -466,7 +467,7 @@
                                         : options_.gap_penalty) +
       std::max(duration{}, decode.reading_until - now);
   for (auto& [id, each] : engines_) {
-    if (!serves(each, ask, engine_stage::prefill) || !usable(each, now) ||
+    if (!serves(each, ask, engine_stage::prefill, now) || !usable(each, now) ||
         each.exports.holds(now) || now < each.exports_full_until ||
         ask.excluded.count(id) != 0) {
       continue;
@@ -540,8 +541,8 @@
                                   time_point now) const {
   return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
     const auto& [id, each] = entry;
-    return serves(each, ask, engine_stage::decode) &&
-           now >= each.switching_until && ask.excluded.count(id) == 0;
+    return serves(each, ask, engine_stage::decode, now) &&
+           now >= each.switched.until && ask.excluded.count(id) == 0;
   });
 }
 
@@ -589,7 +590,7 @@
     return best;
   }
   for (const auto& [id, each] : engines_) {
-    if (serves(each, ask, engine_stage::prefill) && usable(each, now)) {
+    if (serves(each, ask, engine_stage::prefill, now) && usable(each, now)) {
       best = std::min(best, std::max(duration{}, each.reading_until - now) +
                                 of.prefill->predict(ask.prompt_tokens));
     }
@@ -761,7 +762,8 @@
       entry.running += each.leases.size();
       if (each.listed.leaving || !usable(each, now)) {
         ++entry.unusable;
-      } else if (each.listed.stage == engine_stage::prefill) {
+      } else if (each.switched.stage_now(each.listed.stage, now) ==
+                 engine_stage::prefill) {
         ++entry.prefill;
       } else {
         ++entry.decode;
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -101,7 +101,7 @@
   /// Takes what the directory lists now; servers without a stage are left out.
   void set_engines(const std::vector<listed_server>& listed);
   /// An engine switches its stage and takes nothing for a while.
-  void switching(const std::string& engine, duration span, time_point now);
+  void switching(const std::string& engine, const announced_switch& in);
 
   /// The fleet found that the engine fails requests.
   void leave_alone(const std::string& engine, duration span, time_point now);
@@ -150,7 +150,7 @@
     ejection ejected;
     ejection exports;  // ejected as the source of KV caches
     time_point full_until{};
-    time_point switching_until{};
+    announced_switch switched;
     time_point outlier_until{};
     time_point slow_until{};
   };
@@ -194,7 +194,7 @@
   double peak_with(const service& of, const engine& in,
                    const placement_ask& ask, time_point now) const;
   static bool serves(const engine& in, const placement_ask& ask,
-                     engine_stage stage);
+                     engine_stage stage, time_point now);
   static bool usable(const engine& in, time_point now);
   std::vector<engine*> fitting_engines(const service& of,
                                        const placement_ask& ask,
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -132,8 +132,9 @@
   scheduler_.set_profile(service, profile);
 }
 
-void placement_client::switching(const std::string& engine, duration span) {
-  scheduler_.switching(engine, span, runtime_clock::now());
+void placement_client::switching(const std::string& engine,
+                                 const announced_switch& in) {
+  scheduler_.switching(engine, in);
 }
 
 void placement_client::leave_alone(const std::string& engine, duration span) {
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -30,7 +30,7 @@
   /// The engines of the fleet, and switches of them.
   void set_engines(const std::vector<listed_server>& listed);
   void set_profile(const std::string& service, const engine_profile& profile);
-  void switching(const std::string& engine, duration span);
+  void switching(const std::string& engine, const announced_switch& in);
   void leave_alone(const std::string& engine, duration span);
 
   /// Asks for engines. Returns the id of the ask, to be released at its end
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -99,9 +99,10 @@
   for (const auto& [id, state] : servers_) {
     const listed_server& listed = state.listed;
     if (listed.service != need.service || listed.leaving ||
-        need.excluded.count(id) != 0 || now < state.switching_until ||
+        need.excluded.count(id) != 0 || now < state.switched.until ||
         is_spared(state, now) ||
-        (need.stage != engine_stage::none && listed.stage != need.stage)) {
+        (need.stage != engine_stage::none &&
+         state.switched.stage_now(listed.stage, now) != need.stage)) {
       continue;
     }
     const double own = cost(state, need, now);
@@ -115,6 +116,7 @@
   }
   chosen_server out;
   out.server = best->listed;
+  out.server.stage = best->switched.stage_now(best->listed.stage, now);
   out.in_flight = best->in_flight;
   out.full = is_full(*best, need, now);
   if (best->load && now - best->load_at < options_.load_lifetime) {
@@ -178,11 +180,10 @@
   }
 }
 
-void server_list::switching(const std::string& id, duration span,
-                            time_point now) {
+void server_list::switching(const std::string& id, const announced_switch& in) {
   const auto found = servers_.find(id);
   if (found != servers_.end()) {
-    found->second.switching_until = now + span;
+    found->second.switched = in;
   }
 }
 
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -91,7 +91,7 @@
   /// The server had no place for a request.
   void refused(const std::string& id, time_point now);
   /// The engine switches its stage and takes nothing for a while.
-  void switching(const std::string& id, duration span, time_point now);
+  void switching(const std::string& id, const announced_switch& in);
   /// The fleet found that the server fails requests.
   void leave_alone(const std::string& id, duration span, time_point now);
   std::vector<listed_server> all() const;
@@ -129,7 +129,7 @@
     std::optional<server_load> load;
     time_point load_at{};
     time_point full_until{};
-    time_point switching_until{};
+    announced_switch switched;
     ejection ejected;
     time_point outlier_until{};
   };
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -44,9 +44,13 @@
   process_.peers.on<stage_notice>(
       [this, alive = alive_](const peer_id& /*from*/, const stage_notice& in) {
         if (*alive) {
-          servers_.switching(in.server, milliseconds(in.span_ms),
-                             runtime_clock::now());
-          placement_.switching(in.server, milliseconds(in.span_ms));
+          const time_point now = runtime_clock::now();
+          const announced_switch announced{
+              in.to_prefill ? engine_stage::prefill : engine_stage::decode,
+              now + milliseconds(in.span_ms)};
+          servers_.switching(in.server, announced);
+          placement_.switching(in.server, announced);
+          planner_.ordered(in.server, announced.to, now);
         }
       });
   tick();
@@ -88,7 +92,8 @@
 // Gateways hear of it first, so that none sends the engine anything while it
 // switches.
 void stage_controller::give(stage_order order, const engine_profile& profile) {
-  cluster_.tell_everyone(stage_notice{order.server, profile.switch_ms});
+  cluster_.tell_everyone(stage_notice{order.server, profile.switch_ms,
+                                      order.stage == engine_stage::prefill});
   const std::uint64_t id = ++last_order_;
   pooled_call call;
   call.address = order.address;
--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -10,7 +10,11 @@
 
 void stage_planner::reset() {
   demand_.clear();
-  orders_.clear();
+}
+
+void stage_planner::ordered(const std::string& server, engine_stage to,
+                            time_point now) {
+  orders_[server] = {to, now};
 }
 
 void stage_planner::report(const std::string& service, const engine_load& in,
--- a/src/gateway/stage_planner.h
+++ b/src/gateway/stage_planner.h
@@ -58,8 +58,12 @@
   /// Takes the present demand for a service's engines. Call at even spans.
   void report(const std::string& service, const engine_load& in,
               time_point now);
-  /// Forgets everything, as when another process led meanwhile.
+  /// Forgets the demand, as when another process led meanwhile. Orders that
+  /// were announced stand.
   void reset();
+  /// An engine was ordered to another stage, by this process or the one that
+  /// led before.
+  void ordered(const std::string& server, engine_stage to, time_point now);
   /// Returns the orders that are due now, given the engines of a service.
   std::vector<stage_order> plan(const std::string& service,
                                 const std::vector<listed_server>& engines,
--- a/src/wire/document_messages.h
+++ b/src/wire/document_messages.h
@@ -114,8 +114,9 @@
   static constexpr const char* type_name = "stage_notice";
   std::string server;
   std::int64_t span_ms = 0;
+  bool to_prefill = false;  ///< else to decode
 };
-CITRONWHARF_VALUE(stage_notice, server, span_ms)
+CITRONWHARF_VALUE(stage_notice, server, span_ms, to_prefill)
 
 }  // namespace citronwharf
 
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -320,6 +320,30 @@
   }
 }
 
+// The directory shows a switch only some time after its end. Until then an
+// engine that now decodes would turn every prompt away.
+BOOST_AUTO_TEST_CASE(an_engine_that_has_switched_serves_its_new_stage) {
+  engine_scheduler scheduler = make_scheduler(2, 1);
+  scheduler.switching("p0", {engine_stage::decode, start + seconds(6)});
+  const time_point after = start + milliseconds(6100);
+  std::map<std::string, int> decoders;
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    scheduler.ask("g1", ask_for(id), after);
+  }
+  for (const placement_decision& each : scheduler.decide(after)) {
+    BOOST_TEST(each.grant.prefill.id != "p0");
+    ++decoders[each.grant.decode.id];
+  }
+  BOOST_TEST(decoders["p0"] > 0);
+  // The order was not carried out, as the directory shows in the end.
+  const time_point later = start + seconds(10);
+  scheduler.ask("g1", ask_for(7), later);
+  scheduler.ask("g1", ask_for(8), later);
+  for (const placement_decision& each : scheduler.decide(later)) {
+    BOOST_TEST(each.grant.decode.id != "p0");
+  }
+}
+
 // Load: exports fill a prefill engine's memory for the moment; they are fetched
 // within milliseconds.
 BOOST_AUTO_TEST_CASE(a_prefill_engine_without_room_is_used_again_soon) {
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -335,7 +335,7 @@
   listed_server leaving = engine("d1", engine_stage::decode);
   leaving.leaving = true;
   servers.replace({leaving, engine("d2", engine_stage::decode)}, start);
-  servers.switching("d2", seconds(6), start);
+  servers.switching("d2", {engine_stage::decode, start + seconds(6)});
   BOOST_TEST(!servers.choose(need_of(engine_stage::decode), start));
   BOOST_TEST(servers.choose(need_of(engine_stage::decode), start + seconds(7))
                  ->server.id == "d2");
@@ -617,6 +617,39 @@
   }
 }
 
+// A leader that takes over in the middle of a switch: the directory still shows
+// the stage before. Its engines get no second order.
+BOOST_AUTO_TEST_CASE(a_new_leader_repeats_no_order) {
+  std::vector<listed_server> engines;
+  constexpr int count = 18;
+  engines.reserve(count);
+  for (int at = 0; at < count; ++at) {
+    engines.push_back(
+        engine("e" + std::to_string(at),
+               at < 6 ? engine_stage::prefill : engine_stage::decode));
+  }
+  const auto plan = [&](stage_planner& planner, time_point from) {
+    std::vector<stage_order> out;
+    time_point now = from;
+    for (int step = 0; step < 8; ++step, now += milliseconds(500)) {
+      planner.report("models", {1.9, 7.0}, now);
+      for (const stage_order& order : planner.plan("models", engines, now)) {
+        out.push_back(order);
+      }
+    }
+    return out;
+  };
+  stage_planner first({});
+  stage_planner second({});
+  const auto orders = plan(first, start);
+  BOOST_REQUIRE(orders.size() == 2U);
+  for (const stage_order& order : orders) {
+    second.ordered(order.server, order.stage, start + seconds(4));
+  }
+  second.reset();
+  BOOST_TEST(plan(second, start + seconds(5)).empty());
+}
+
 // Load: fast engines with long answers; both stages could bear twice as much. A
 // switch would cost an engine for seconds and leave one to read all prompts.
 BOOST_AUTO_TEST_CASE(no_engine_moves_while_both_stages_have_room) {
