--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -10,18 +10,25 @@
 
 void stage_planner::reset() {
   demand_.clear();
-  orders_.clear();
+}
+
+void stage_planner::ordered(const std::string& server, engine_stage to,
+                            time_point now) {
+  orders_[server] = {to, now};
 }
 
 void stage_planner::report(const std::string& service, const engine_load& in,
                            time_point now) {
   demand_of& of = demand_[service];
-  if (of.samples.empty() && in.prefill <= 0) {
+  if (of.since == time_point{} && in.prefill <= 0) {
     return;
   }
-  if (of.samples.empty()) {
+  if (of.since == time_point{}) {
     of.since = now;
   }
+  if (now - of.since < options_.ramp) {
+    return;
+  }
   of.samples.push_back({now, in.prefill, in.decode});
   while (now - of.samples.front().at > options_.demand_window) {
     of.samples.pop_front();
@@ -39,9 +46,19 @@
   return out;
 }
 
-// Both stages are to have the same room for a growing load.
-std::size_t stage_planner::target(const sample& demand,
-                                  std::size_t engines) const {
+// An engine that switches serves nobody for seconds, so that none does while
+// both stages have room for a burst. Where they can't, both are to have the
+// same room for their demand.
+std::size_t stage_planner::target(const sample& demand, std::size_t engines,
+                                  std::size_t prefilling) const {
+  const auto needed = [this](double of) {
+    return static_cast<std::size_t>(std::ceil(options_.burst_factor * of));
+  };
+  const std::size_t prefill = needed(demand.prefill);
+  const std::size_t decode = needed(demand.decode);
+  if (prefill + decode <= engines) {
+    return std::clamp<std::size_t>(prefilling, prefill, engines - decode);
+  }
   const double share = demand.prefill / (demand.prefill + demand.decode);
   const auto wanted = static_cast<std::size_t>(
       std::round(share * static_cast<double>(engines)));
@@ -65,7 +82,8 @@
     return {};
   }
   const sample demand = average(found->second, now);
-  if (now - found->second.since < options_.settling || demand.prefill <= 0 ||
+  if (found->second.samples.empty() ||
+      now - found->second.since < options_.settling || demand.prefill <= 0 ||
       demand.decode <= 0) {
     return {};
   }
@@ -85,7 +103,7 @@
   if (staged.size() < 2 || demand.prefill + demand.decode < known) {
     return {};
   }
-  const std::size_t wanted = target(demand, staged.size());
+  const std::size_t wanted = target(demand, staged.size(), prefilling);
   const auto decoding = static_cast<double>(staged.size() - prefilling);
   const bool decode_has_room =
       demand.decode < options_.max_decode_use * decoding;
--- a/src/gateway/stage_planner.h
+++ b/src/gateway/stage_planner.h
@@ -15,10 +15,15 @@
 namespace citronwharf {
 
 struct stage_planner_options {
+  /// Load to be ready for, as a multiple of the present one: a burst comes and
+  /// goes within the time that a switch takes.
+  double burst_factor = 2;
   /// Demand below this share of the engines says nothing of the ratio.
   double min_demand_share = 0.2;
   /// Demand is averaged over this.
   duration demand_window = seconds(6);
+  /// The first second of a load that is measured over a second is no measure.
+  duration ramp = seconds(1);
   /// Demand is trusted after there was some for so long.
   duration settling = seconds(2);
   /// An order is not repeated before it was surely carried out or lost: orders
@@ -53,8 +58,12 @@
   /// Takes the present demand for a service's engines. Call at even spans.
   void report(const std::string& service, const engine_load& in,
               time_point now);
-  /// Forgets everything, as when another process led meanwhile.
+  /// Forgets the demand, as when another process led meanwhile. Orders that
+  /// were announced stand.
   void reset();
+  /// An engine was ordered to another stage, by this process or the one that
+  /// led before.
+  void ordered(const std::string& server, engine_stage to, time_point now);
   /// Returns the orders that are due now, given the engines of a service.
   std::vector<stage_order> plan(const std::string& service,
                                 const std::vector<listed_server>& engines,
@@ -76,7 +85,8 @@
   };
 
   static sample average(const demand_of& of, time_point now);
-  std::size_t target(const sample& demand, std::size_t engines) const;
+  std::size_t target(const sample& demand, std::size_t engines,
+                     std::size_t prefilling) const;
   engine_stage stage_of(const listed_server& server, time_point now) const;
 
   stage_planner_options options_;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -22,7 +22,9 @@
 // Silence after which a resumable stream goes on elsewhere. Callers leave
 // after two seconds at the earliest.
 constexpr duration first_event_timeout = milliseconds(1200);
-constexpr duration gap_timeout = milliseconds(900);
+constexpr duration min_gap_timeout = milliseconds(900);
+// Where the route bears longer gaps: that many times its objective.
+constexpr std::int64_t gap_timeout_objectives = 3;
 // Callers whose stream has begun wait for two seconds at least for it to go on:
 // for memory, and for an engine to read the prompt and what was generated.
 constexpr duration max_resume_wait = milliseconds(900);
@@ -38,6 +40,9 @@
 // Events that tell an engine's pace: enough to cover a prompt that it reads
 // between them.
 constexpr std::int64_t paced_events = 5;
+// Prefill engines that are tried after one that had no room or broke off. Each
+// costs a round trip and a part of the retry budget.
+constexpr int max_failed_prefills = 2;
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -108,6 +113,7 @@
     need.ask.output_tokens = std::max(output_tokens_ - made_tokens(),
                                       output_tokens_ / outgrown_divisor);
     need.ask.split = sends_ == 0 && !last_event_ && export_.handle.empty();
+    need.ask.gap_us = to_microseconds(milliseconds(route().gap_objective_ms));
     need.ask.excluded = tried_;
     need.until = std::min(until, request().deadline);
     search_.start(std::move(need));
@@ -119,6 +125,16 @@
     return engine ? events_ * engine->tokens_per_event : 0;
   }
 
+  bool may_send(const listed_server& server) {
+    return environment().servers.may_send(server.id, runtime_clock::now());
+  }
+
+  // An engine asked to be spared since it was chosen.
+  void search_again(const listed_server& spared) {
+    note(fmt::format("spared({})", spared.id));
+    search(placement_class::under_way, runtime_clock::now() + max_resume_wait);
+  }
+
   void on_found(const found_engines& found) {
     engines_ = found;
     if (found.prefill && export_.handle.empty()) {
@@ -129,6 +145,10 @@
   }
 
   void start_prefill(const listed_server& server) {
+    if (!may_send(server)) {
+      search_again(server);
+      return;
+    }
     prefill_ = server;
     prefill_started_ = runtime_clock::now();
     note(fmt::format("prefill({})", server.id));
@@ -157,21 +177,21 @@
       search_.observe(prefill_.id,
                       sent ? engine_sign::failed : engine_sign::unreachable);
       end_call(sent ? server_result::failed : server_result::unreachable);
-      if (sent) {
-        prefill_failed();
-      } else {
-        // Nothing was sent: another engine may read the prompt.
-        tried_.insert(prefill_.id);
+      tried_.insert(prefill_.id);
+      if (!sent || may_prefill_again()) {
+        // Another engine may read the prompt.
         search(placement_class::under_way,
                request().received + milliseconds(route().objective_ms));
+      } else {
+        prefill_failed();
       }
       return;
     }
+    take_signs(environment(), prefill_.id, *response);
     if (response->status != status_ok) {
       note(fmt::format("prefill_refused({})", response->status));
       end_call(server_result::refused);
-      search_.observe(prefill_.id, engine_sign::unreachable);
-      prefill_failed();
+      prefill_refused(response->status);
       return;
     }
     end_call(server_result::served);
@@ -191,6 +211,24 @@
     start_decode();
   }
 
+  // Nothing has run. Another prefill engine may have room: a decode engine that
+  // reads the prompt holds up its streams.
+  void prefill_refused(int status) {
+    search_.observe(prefill_.id, status == status_unavailable
+                                     ? engine_sign::exports_full
+                                     : engine_sign::unreachable);
+    if (!may_prefill_again()) {
+      prefill_failed();
+      return;
+    }
+    search(placement_class::under_way,
+           request().received + milliseconds(route().objective_ms));
+  }
+
+  bool may_prefill_again() {
+    return ++failed_prefills_ <= max_failed_prefills && take_budget();
+  }
+
   // Nothing has run. The first prefill that an engine accepts is no extra send,
   // but one that fails is.
   void prefill_failed() {
@@ -206,6 +244,10 @@
 
   void start_decode() {
     const listed_server& server = engines_.decode;
+    if (!may_send(server)) {
+      search_again(server);
+      return;
+    }
     ++sends_;
     may_be_running_ = true;
     last_server_ = server.id;
@@ -286,10 +328,11 @@
   void on_head(const http_response& head) {
     head_ = head;
     report_.sent = true;
-    const server_answer answer = environment().codec.read_answer(head);
-    if (answer.load) {
-      environment().servers.reported(last_server_, *answer.load,
-                                     runtime_clock::now());
+    const server_answer answer = take_signs(environment(), last_server_, head);
+    if (answer.status == status_ok && !answer.signed_by) {
+      note("unsigned");
+      settle(server_result::failed);
+      return;
     }
     if (answer.status == status_ok) {
       environment().servers.answers(last_server_);
@@ -308,12 +351,22 @@
       error_body_ += part;
       return;
     }
-    for (const stream_event& event : splitter_.feed(part)) {
+    const auto events = splitter_.feed(part);
+    for (const stream_event& event : events) {
       if (!relay(event)) {
         return;
       }
     }
-    watch(gap_timeout);
+    // A stalled engine may still send a byte now and then.
+    if (!events.empty()) {
+      watch(gap_timeout());
+    }
+  }
+
+  duration gap_timeout() const {
+    return std::max<duration>(
+        min_gap_timeout,
+        milliseconds(gap_timeout_objectives * route().gap_objective_ms));
   }
 
   // Returns whether the stream goes on.
@@ -399,6 +452,9 @@
     if (report_.sent && !report_.not_run) {
       ++servers_run_;
       // The engine that may have run the request may have fetched it, too.
+      if (!export_.handle.empty()) {
+        cached_at_ = engines_.decode;
+      }
       export_ = {};
     } else if (!export_usable()) {
       drop_export();
@@ -441,9 +497,8 @@
     }
     // The engine frees it by itself before long, so that a lost call is no
     // matter; the pool keeps the call until it ends.
-    environment().pool.run_detached(
-        call_to(prefill_.address),
-        environment().codec.drop_prefill(export_.handle));
+    tell(environment(), prefill_,
+         environment().codec.drop_prefill(export_.handle));
     export_ = {};
   }
 
@@ -493,6 +548,7 @@
   std::int64_t output_tokens_ = 0;  // expected
   listed_server prefill_;
   time_point prefill_started_{};
+  int failed_prefills_ = 0;
   exported_prefill export_;  // handle "" without one
   time_point exported_at_{};
   listed_server cached_at_;  // an engine that has read the prompt, or none
