--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -211,7 +211,7 @@
     return;
   }
   server_state& state = found->second;
-  // An answer on its way from before the first one changes nothing.
+  // A further refusal within the span only extends it.
   if (now >= state.spared_until) {
     state.spared_at = now;
     state.sent_while_spared = 0;
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -614,18 +614,23 @@
   }
 }
 
+// Returns engines of which the first ones prefill.
+std::vector<listed_server> staged_engines(int count, int prefilling) {
+  std::vector<listed_server> out;
+  out.reserve(static_cast<std::size_t>(count));
+  for (int at = 0; at < count; ++at) {
+    out.push_back(engine("e" + std::to_string(at), at < prefilling
+                                                       ? engine_stage::prefill
+                                                       : engine_stage::decode));
+  }
+  return out;
+}
+
 // Load: prompts of 0.09 s and answers of 3 s, at 18 engines of which six
 // prefill. Decode memory runs out while prefill engines idle.
 BOOST_AUTO_TEST_CASE(idle_prefill_engines_are_moved_to_decode) {
   stage_planner planner({});
-  constexpr int count = 18;
-  std::vector<listed_server> engines;
-  engines.reserve(count);
-  for (int at = 0; at < count; ++at) {
-    engines.push_back(
-        engine("e" + std::to_string(at),
-               at < 6 ? engine_stage::prefill : engine_stage::decode));
-  }
+  const auto engines = staged_engines(18, 6);
   std::vector<stage_order> orders;
   time_point now = start;
   for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
@@ -643,14 +648,7 @@
 // A leader that takes over in the middle of a switch: the directory still shows
 // the stage before. Its engines get no second order.
 BOOST_AUTO_TEST_CASE(a_new_leader_repeats_no_order) {
-  std::vector<listed_server> engines;
-  constexpr int count = 18;
-  engines.reserve(count);
-  for (int at = 0; at < count; ++at) {
-    engines.push_back(
-        engine("e" + std::to_string(at),
-               at < 6 ? engine_stage::prefill : engine_stage::decode));
-  }
+  const auto engines = staged_engines(18, 6);
   const auto plan = [&](stage_planner& planner, time_point from) {
     std::vector<stage_order> out;
     time_point now = from;
@@ -676,14 +674,7 @@
 // Load: fast engines with long answers; both stages could bear twice as much. A
 // switch would cost an engine for seconds and leave one to read all prompts.
 BOOST_AUTO_TEST_CASE(no_engine_moves_while_both_stages_have_room) {
-  std::vector<listed_server> engines;
-  constexpr int count = 12;
-  engines.reserve(count);
-  for (int at = 0; at < count; ++at) {
-    engines.push_back(
-        engine("e" + std::to_string(at),
-               at < 5 ? engine_stage::prefill : engine_stage::decode));
-  }
+  const auto engines = staged_engines(12, 5);
   for (const engine_load& load :
        {engine_load{0.13, 2.3}, engine_load{1.3, 3.4}, engine_load{2.4, 2.0}}) {
     stage_planner planner({});
--- a/test/gateway-servers-test.cc
+++ b/test/gateway-servers-test.cc
@@ -262,12 +262,7 @@
   std::vector<std::shared_ptr<http_exchange>> trickling;
   const auto trickle = [&](const http_request& request,
                            std::unique_ptr<http_exchange> exchange) {
-    if (request.target == "/-/hold-take") {
-      exchange->respond(reply(200, R"({"hold":"m1"})"));
-      return;
-    }
-    if (request.method == "DELETE") {
-      exchange->respond(reply(200, "{}"));
+    if (answers_beside(request, *exchange)) {
       return;
     }
     if (!find_header(request.headers, "Last-Event-Id").empty()) {
@@ -316,12 +311,7 @@
   int streams = 0;
   const auto answer = [&](const http_request& request,
                           std::unique_ptr<http_exchange> exchange) {
-    if (request.target == "/-/hold-take") {
-      exchange->respond(reply(200, R"({"hold":"m1"})"));
-      return;
-    }
-    if (request.method == "DELETE") {
-      exchange->respond(reply(200, "{}"));
+    if (answers_beside(request, *exchange)) {
       return;
     }
     ++streams;
--- a/test/gateway_world.h
+++ b/test/gateway_world.h
@@ -46,15 +46,25 @@
     instances.push_back(entry);
   }
 
+  // Answers a call beside a generation: takes a hold, or frees something.
+  // Returns false, and answers nothing, for any other request.
+  static bool answers_beside(const http_request& request,
+                             http_exchange& exchange) {
+    if (request.target == "/-/hold-take") {
+      exchange.respond(reply(200, R"({"hold":"m1"})"));
+      return true;
+    }
+    if (request.method == "DELETE") {
+      exchange.respond(reply(200, "{}"));
+      return true;
+    }
+    return false;
+  }
+
   static stand_in_server::answer stream_of(int events) {
     return [events](const http_request& request,
                     std::unique_ptr<http_exchange> exchange) {
-      if (request.target == "/-/hold-take") {
-        exchange->respond(reply(200, R"({"hold":"m1"})"));
-        return;
-      }
-      if (request.method == "DELETE") {
-        exchange->respond(reply(200, "{}"));
+      if (answers_beside(request, *exchange)) {
         return;
       }
       const std::string last = find_header(request.headers, "Last-Event-Id");
