HTTP server: a stop between response and next request closes the connection

Cause: connection::answered() posts await_request(). When stop_accepting() ran between the two, it found the connection answering and left it alone, and await_request() then waited for a request that the stopping process would give up.

Ruled out: connections in `reading` answer with Connection: close; those that stop_accepting() admits itself are closed by close_if_idle().

The new test stops the listener after each of twelve steps of the loop: before, connections stayed open when stopped after 2 to 5 steps; now none.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -270,6 +270,13 @@
     read_header();
     return;
   }
+  // The listener may have stopped since the last response was sent.
+  const auto server = server_.lock();
+  if ((!server || !server->accepting()) &&
+      socket_.available(ignored_) == 0) {
+    close();
+    return;
+  }
   arm(options_.idle_timeout, &connection::close);
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](error_code error) {
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -257,3 +257,34 @@
       start_http_call(loop, options, {"GET", "/", {}, "", ""}, handlers);
   BOOST_TEST(run_until(loop, [&] { return body == "first"; }));
 }
+
+// A stop may come at any step of the loop around the end of a response. Found
+// at large/trouble-1: a connection that was between its response and the wait
+// for the next request stayed open, and its next request was given up.
+BOOST_AUTO_TEST_CASE(a_stop_at_any_step_leaves_no_idle_connection_open) {
+  constexpr int steps_played = 12;
+  for (int steps = 0; steps < steps_played; ++steps) {
+    boost::asio::io_context loop;
+    http_server_options options;
+    options.idle_timeout = seconds(60);
+    http_server server(loop, options,
+                       [](const http_request& /*request*/,
+                          std::unique_ptr<http_exchange> exchange) {
+                         exchange->respond({200, {}, "whole"});
+                       });
+    const std::uint16_t port = server.listen().value();
+    tcp::socket caller(loop);
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    boost::asio::write(
+        caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    BOOST_REQUIRE(run_until(loop, [&] { return caller.available() > 0; }));
+    loop.restart();
+    for (int step = 0; step < steps; ++step) {
+      loop.poll_one();
+    }
+    server.stop_accepting();
+    BOOST_TEST(run_until(
+                   loop, [&] { return server.connections() == 0; }, seconds(1)),
+               "open when stopped after " << steps << " steps");
+  }
+}
