Prompts beside streams keep an event apart; no orders while engines fail

Each alone fitted, since keeps_gaps() looked at what was being read at that moment; few of an event's steps pass beside a prompt, so that the next one is added to the same event. After a crash thirteen prompts went to one empty engine within 0.2 s.

Further causes found on the way, each with its change: - A prefill engine that is full of exports was reported as refusing, and left alone as an outlier for seconds. Being full is no fault. - Spans of prompts that had queued taught a slower engine, which made every prompt look too long for a decode engine: all went to one prefill engine, which queued for seconds. Prompts that waited no longer teach. - A refusal by a decode engine that was ordered to another stage was taken for a lost export, and the only prefill engine left alone for four seconds. - While three to five engines of twelve were down, the planner ordered the last prefill engines to decode, six seconds for a crash of four. - A fresh request was placed behind seconds of prompts, late by then, and made others late. It waits, and is refused when it can't be in time any more. - A long prompt that waits for a prefill engine lets shorter ones pass. - Who waits for an engine that can read, not for memory, is not refused by the prediction of memory.

--- a/src/gateway/ejection.h
+++ b/src/gateway/ejection.h
@@ -30,6 +30,11 @@
   /// Returns whether requests had better go elsewhere.
   bool holds(time_point now) const { return now < until_; }
 
+  /// Returns whether it has failed and not served a request since.
+  bool failing(const ejection_options& options) const {
+    return failures_ >= options.failures;
+  }
+
   /// A request begins there: after an ejection, the others wait for its result.
   void tried(const ejection_options& options, time_point now) {
     if (failures_ >= options.failures && !holds(now)) {
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -18,8 +18,8 @@
 // An engine that is this much slower than predicted is no better than silent.
 constexpr double max_slowness = 8;
 constexpr duration arrival_window = seconds(1);
-// Engines that have room from which one is chosen.
-constexpr std::size_t max_choices = 6;
+// Engines with room among which one is looked for that can read a prompt.
+constexpr std::size_t max_choices = 12;
 // Generations end in clusters: of those that are expected to wait for so much
 // less than they may, few wait in vain.
 constexpr double wait_margin = 1.2;
@@ -222,7 +222,11 @@
 
 void engine_scheduler::take_prefill(engine& at, const engine_observation& in) {
   service& of = service_named(at.listed.service);
-  if (in.tokens >= min_metered_prompt && in.span_us > 0) {
+  const double alone_us =
+      static_cast<double>(to_microseconds(of.prefill->predict(in.tokens)));
+  const bool waited = static_cast<double>(in.predicted_us) >
+                      options_.max_metered_wait * alone_us;
+  if (in.tokens >= min_metered_prompt && in.span_us > 0 && !waited) {
     of.prefill->take(in.tokens, from_microseconds(in.span_us));
   }
   if (in.predicted_us > 0) {
@@ -279,7 +283,10 @@
     case engine_sign::unreachable:
       return at.ejected.failed(true, options_.eject, now);
     case engine_sign::export_gone:
-      return at.exports.eject(options_.eject, now);
+      // Exports that were made together lapse together.
+      return at.exports.holds(now)
+                 ? std::nullopt
+                 : std::optional<duration>(at.exports.eject(options_.eject, now));
   }
   return std::nullopt;
 }
@@ -435,37 +442,58 @@
   return of.prefill->latency() + read_span(of, ask) * 2;
 }
 
+// Between two events of a stream, without prompts.
+duration engine_scheduler::event_span(const service& of) {
+  return from_seconds(static_cast<double>(of.profile.tokens_per_event) /
+                      of.tokens_per_second);
+}
+
+// Prompts that a decode engine reads or has read since its streams could last
+// finish an event: few of an event's steps pass beside a prompt.
+duration engine_scheduler::reads_in_event(const service& of,
+                                          const engine& decode,
+                                          time_point now) {
+  return now < decode.reading_until + event_span(of) ? decode.own_reads
+                                                     : duration{};
+}
+
 // A decode engine reads a prompt in pieces between the steps of its streams: no
 // event of a stream that runs there comes before the prompt is read, nor before
-// those that it reads already.
-bool engine_scheduler::keeps_gaps(const service& of, const engine& decode,
-                                  const placement_ask& ask,
-                                  time_point now) const {
-  if (ask.gap_us <= 0 || decode.leases.empty()) {
+// the others that it reads, for `reading`.
+bool engine_scheduler::keeps_gaps(const service& of, const placement_ask& ask,
+                                  duration reading) const {
+  if (ask.gap_us <= 0) {
     return true;
   }
-  const duration event = from_seconds(
-      static_cast<double>(of.profile.tokens_per_event) / of.tokens_per_second);
-  const duration gap = event + read_span(of, ask) * 2 +
-                       std::max(duration{}, decode.reading_until - now);
+  const duration gap = event_span(of) + read_span(of, ask) * 2 + reading;
   return to_seconds(gap) <=
          options_.max_gap_share * to_seconds(from_microseconds(ask.gap_us));
 }
 
-engine_scheduler::prefill_choice engine_scheduler::choose_prefill(
-    const service& of, const engine& decode, const placement_ask& ask,
-    time_point now) {
-  const duration read = read_span(of, ask);
-  prefill_choice best;
-  best.wait = own_prefill_wait(of, ask);
+// Whether the prompt can be read without a stream being late for it, now or
+// before long.
+bool engine_scheduler::may_keep_gaps(const service& of,
+                                     const placement_ask& ask,
+                                     time_point now) const {
+  return keeps_gaps(of, ask, {}) ||
+         (ask.split &&
+          std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
+            const engine& each = entry.second;
+            return serves(each, ask, engine_stage::prefill, now) &&
+                   usable(each, now) && !each.exports.holds(now);
+          }));
+}
+
+std::optional<engine_scheduler::prefill_choice>
+engine_scheduler::choose_prefill_engine(const service& of,
+                                        const engine& decode,
+                                        const placement_ask& ask,
+                                        time_point now) {
   if (!ask.split) {
-    return best;
+    return std::nullopt;
   }
-  duration best_cost =
-      best.wait +
-      (keeps_gaps(of, decode, ask, now) ? options_.own_prefill_penalty
-                                        : options_.gap_penalty) +
-      std::max(duration{}, decode.reading_until - now);
+  const duration read = read_span(of, ask);
+  std::optional<prefill_choice> best;
   for (auto& [id, each] : engines_) {
     if (!serves(each, ask, engine_stage::prefill, now) || !usable(each, now) ||
         each.exports.holds(now) || now < each.exports_full_until ||
@@ -479,14 +507,44 @@
         each.listed.failure_domain == decode.listed.failure_domain;
     const duration cost =
         wait + (near ? duration{} : options_.distance_penalty);
-    if (cost < best_cost) {
-      best = {&each, wait};
-      best_cost = cost;
+    if (!best || cost < best->cost) {
+      best = {&each, wait, cost};
     }
   }
   return best;
 }
 
+engine_scheduler::prefill_choice engine_scheduler::choose_prefill(
+    const service& of, const engine& decode, const placement_ask& ask,
+    time_point now) {
+  prefill_choice own;
+  own.wait = own_prefill_wait(of, ask) +
+             std::max(duration{}, decode.reading_until - now);
+  own.cost = own.wait + options_.own_prefill_penalty;
+  const auto other = choose_prefill_engine(of, decode, ask, now);
+  return other && other->cost < own.cost ? *other : own;
+}
+
+// Returns the decode engine that reads the prompt beside its streams; nothing
+// where the request should rather wait: one stream isn't served at the expense
+// of all others of an engine.
+engine_scheduler::engine* engine_scheduler::choose_reader(
+    const service& of, const std::vector<engine*>& among,
+    const placement_ask& ask, time_point now) const {
+  const auto suits = [&](const engine* each) {
+    return each->leases.empty()
+               ? now >= each->reading_until
+               : keeps_gaps(of, ask, reads_in_event(of, *each, now));
+  };
+  const auto found = std::find_if(among.begin(), among.end(), suits);
+  if (found != among.end()) {
+    return *found;
+  }
+  const bool waits = ask.turn != placement_class::under_way &&
+                     may_keep_gaps(of, ask, now);
+  return waits ? nullptr : among.front();
+}
+
 std::optional<placement_grant> engine_scheduler::place(
     service& of, const waiting_ask& waiting, time_point now) {
   const placement_ask& ask = waiting.ask;
@@ -497,15 +555,21 @@
   engine* decode = fitting.front();
   prefill_choice prefill = choose_prefill(of, *decode, ask, now);
   if (prefill.at == nullptr) {
-    // Streams stand two prompts at a time badly.
-    const auto calm = std::find_if(
-        fitting.begin(), fitting.end(),
-        [now](const engine* each) { return now >= each->reading_until; });
-    if (calm != fitting.end()) {
-      decode = *calm;
+    if (engine* reader = choose_reader(of, fitting, ask, now)) {
+      decode = reader;
       prefill = choose_prefill(of, *decode, ask, now);
+    } else if (const auto other =
+                   choose_prefill_engine(of, *decode, ask, now)) {
+      prefill = *other;
+    } else {
+      return std::nullopt;
     }
   }
+  // It would be late, and make others late that can still be in time.
+  if (ask.turn == placement_class::fresh &&
+      now + prefill.wait > waiting.until) {
+    return std::nullopt;
+  }
   placement_grant out;
   out.id = ask.id;
   out.outcome = placement_outcome::placed;
@@ -513,7 +577,7 @@
   out.decode = to_granted(decode->listed);
   out.wait_us = to_microseconds(prefill.wait);
   engine& reader = prefill.at != nullptr ? *prefill.at : *decode;
-  duration read = prefill.wait;
+  duration read = own_prefill_wait(of, ask);
   if (prefill.at != nullptr) {
     out.prefill = to_granted(reader.listed);
     read = busy_latency(of) +
@@ -522,6 +586,9 @@
     reader.exports.tried(options_.eject, now);
     reader.ejected.tried(options_.eject, now);
   }
+  if (prefill.at == nullptr) {
+    reader.own_reads = reads_in_event(of, reader, now) + read;
+  }
   reader.reading_until = std::max(reader.reading_until, now) + read;
   decode->ejected.tried(options_.eject, now);
   const lease_key key{waiting.process, ask.id};
@@ -654,6 +721,7 @@
   for (fair_queue* queue : {&of.fresh, &of.returned}) {
     while (const auto item = queue->peek()) {
       if (!serve_one(of, item->id, now, out)) {
+        serve_shorter(of, *queue, item->id, now, out);
         return;
       }
       queue->pop();
@@ -662,6 +730,31 @@
   }
 }
 
+// The first request waits for an engine that can read its prompt. Shorter
+// prompts behind it may be read beside streams, and don't delay it while there
+// is memory for all.
+void engine_scheduler::serve_shorter(service& of, fair_queue& queue,
+                                     std::uint64_t first, time_point now,
+                                     std::vector<placement_decision>& out) {
+  const placement_ask& blocked = of.asks.at(first).ask;
+  if (fitting_engines(of, blocked, now).empty()) {
+    return;
+  }
+  std::vector<std::uint64_t> shorter;
+  for (const auto& [number, waiting] : of.asks) {
+    if (waiting.ask.turn == blocked.turn &&
+        waiting.ask.prompt_tokens < blocked.prompt_tokens) {
+      shorter.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : shorter) {
+    if (serve_one(of, number, now, out)) {
+      queue.erase(number);
+      of.asks.erase(number);
+    }
+  }
+}
+
 void engine_scheduler::tell(service& of, const waiting_ask& waiting,
                             time_point now, placement_grant grant,
                             std::vector<placement_decision>& out) {
@@ -685,7 +778,10 @@
     if (waiting.told) {
       continue;
     }
-    const duration wait = predicted_wait(name, of, waiting, now);
+    // With memory for it, it waits for an engine that can read its prompt.
+    const duration wait = fitting_engines(of, waiting.ask, now).empty()
+                              ? predicted_wait(name, of, waiting, now)
+                              : duration{};
     placement_grant grant;
     grant.wait_us = to_microseconds(wait);
     if (!has_engine(waiting.ask, now)) {
@@ -776,6 +872,18 @@
   return out;
 }
 
+std::set<std::string> engine_scheduler::failing(const std::string& service,
+                                                time_point now) const {
+  std::set<std::string> out;
+  for (const auto& [id, each] : engines_) {
+    if (each.listed.service == service &&
+        (each.ejected.failing(options_.eject) || now < each.outlier_until)) {
+      out.insert(id);
+    }
+  }
+  return out;
+}
+
 std::set<std::string> engine_scheduler::waiting_processes() const {
   std::set<std::string> out;
   for (const auto& [name, of] : services_) {
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -39,9 +39,9 @@
   /// engine's streams may take up, the event itself included. The rest covers
   /// what the ledger doesn't see.
   double max_gap_share = 0.85;
-  /// Where that would be more, the prompt goes to a decode engine only if this
-  /// is sooner than any prefill engine: every stream there comes late by it.
-  duration gap_penalty = seconds(2);
+  /// A prefill that was predicted to take this many times what its tokens take
+  /// has waited for others, and tells little of the engine's speed.
+  double max_metered_wait = 1.3;
   /// A prefill engine in another failure domain than the decode engine costs
   /// transfers; it is taken when it is sooner by this much.
   duration distance_penalty = milliseconds(40);
@@ -126,6 +126,9 @@
   /// Returns the demand for a service's engines; of prefill over the last
   /// seconds.
   engine_load load(const std::string& service, time_point now);
+  /// Returns the engines of a service that fail.
+  std::set<std::string> failing(const std::string& service,
+                                time_point now) const;
   /// Returns the ledger of each service for which requests wait.
   std::vector<engine_census> census(time_point now) const;
 
@@ -145,6 +148,7 @@
     listed_server listed;
     std::set<lease_key> leases;
     time_point reading_until{};  // the prompts that it was given
+    duration own_reads{};  // of a decode engine, since its streams were calm
     time_point exports_full_until{};
     double slowness = 1;  // of prefills, against the predicted time
     ejection ejected;
@@ -182,6 +186,7 @@
   struct prefill_choice {
     engine* at = nullptr;  // null: the decode engine reads the prompt
     duration wait{};       // until the first event
+    duration cost{};       // with the penalties of this choice
   };
 
   service& service_named(const std::string& name);
@@ -201,10 +206,21 @@
                                        time_point now);
   static duration read_span(const service& of, const placement_ask& ask);
   duration own_prefill_wait(const service& of, const placement_ask& ask) const;
-  bool keeps_gaps(const service& of, const engine& decode,
-                  const placement_ask& ask, time_point now) const;
+  static duration event_span(const service& of);
+  static duration reads_in_event(const service& of, const engine& decode,
+                                 time_point now);
+  bool keeps_gaps(const service& of, const placement_ask& ask,
+                  duration reading) const;
+  bool may_keep_gaps(const service& of, const placement_ask& ask,
+                     time_point now) const;
   prefill_choice choose_prefill(const service& of, const engine& decode,
                                 const placement_ask& ask, time_point now);
+  std::optional<prefill_choice> choose_prefill_engine(const service& of,
+                                                      const engine& decode,
+                                                      const placement_ask& ask,
+                                                      time_point now);
+  engine* choose_reader(const service& of, const std::vector<engine*>& among,
+                        const placement_ask& ask, time_point now) const;
   std::optional<placement_grant> place(service& of, const waiting_ask& waiting,
                                        time_point now);
   bool has_engine(const placement_ask& ask, time_point now) const;
@@ -220,6 +236,8 @@
   void serve(service& of, time_point now, std::vector<placement_decision>& out);
   bool serve_one(service& of, std::uint64_t number, time_point now,
                  std::vector<placement_decision>& out);
+  void serve_shorter(service& of, fair_queue& queue, std::uint64_t first,
+                     time_point now, std::vector<placement_decision>& out);
   void tell_new(const std::string& name, service& of, time_point now,
                 std::vector<placement_decision>& out);
   void expire(service& of, time_point now,
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -145,6 +145,11 @@
   return scheduler_.load(service, runtime_clock::now());
 }
 
+std::set<std::string> placement_client::failing(
+    const std::string& service) const {
+  return scheduler_.failing(service, runtime_clock::now());
+}
+
 template <typename Message>
 void placement_client::tell_leader(const Message& out) {
   // What a lost message would have said is made good by claims.
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/process_context.h"
@@ -46,6 +47,8 @@
 
   /// Returns the demand for a service's engines; at the leader only.
   engine_load load(const std::string& service);
+  /// Returns the engines of a service that fail; at the leader only.
+  std::set<std::string> failing(const std::string& service) const;
   bool leads() const { return led_; }
 
  private:
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -187,6 +187,11 @@
   }
 }
 
+bool server_list::is_switching(const std::string& id, time_point now) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && now < found->second.switched.until;
+}
+
 void server_list::leave_alone(const std::string& id, duration span,
                               time_point now) {
   const auto found = servers_.find(id);
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -92,6 +92,7 @@
   void refused(const std::string& id, time_point now);
   /// The engine switches its stage and takes nothing for a while.
   void switching(const std::string& id, const announced_switch& in);
+  bool is_switching(const std::string& id, time_point now) const;
   /// The fleet found that the server fails requests.
   void leave_alone(const std::string& id, duration span, time_point now);
   std::vector<listed_server> all() const;
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -65,7 +65,8 @@
       continue;
     }
     for (stage_order& order :
-         planner_.plan(service, servers_.of_service(service), now)) {
+         planner_.plan(service, servers_.of_service(service),
+                       placement_.failing(service), now)) {
       if (servers_.may_send(order.server, now)) {
         give(std::move(order), profile);
       }
--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -76,14 +76,22 @@
 
 std::vector<stage_order> stage_planner::plan(
     const std::string& service, const std::vector<listed_server>& engines,
-    time_point now) {
+    const std::set<std::string>& failing, time_point now) {
   const auto found = demand_.find(service);
   if (found == demand_.end()) {
     return {};
   }
-  const sample demand = average(found->second, now);
-  if (found->second.samples.empty() ||
-      now - found->second.since < options_.settling || demand.prefill <= 0 ||
+  demand_of& of = found->second;
+  if (failing.empty()) {
+    of.outage_since = time_point{};
+  } else if (of.outage_since == time_point{}) {
+    of.outage_since = now;
+  }
+  if (!failing.empty() && now - of.outage_since < options_.outage_patience) {
+    return {};
+  }
+  const sample demand = average(of, now);
+  if (of.samples.empty() || now - of.since < options_.settling || demand.prefill <= 0 ||
       demand.decode <= 0) {
     return {};
   }
@@ -92,7 +100,7 @@
   for (const listed_server& engine : engines) {
     const engine_stage stage = stage_of(engine, now);
     if (engine.service != service || engine.leaving ||
-        stage == engine_stage::none) {
+        stage == engine_stage::none || failing.count(engine.id) != 0) {
       continue;
     }
     staged.push_back(&engine);
@@ -107,8 +115,10 @@
   const auto decoding = static_cast<double>(staged.size() - prefilling);
   const bool decode_has_room =
       demand.decode < options_.max_decode_use * decoding;
-  const bool starved = static_cast<double>(prefilling) < demand.prefill &&
-                       wanted > prefilling && decode_has_room;
+  const bool starved =
+      options_.max_prefill_use * static_cast<double>(prefilling) <
+          demand.prefill &&
+      wanted > prefilling && decode_has_room;
   std::size_t moves = 0;
   engine_stage to = engine_stage::none;
   if (prefilling > wanted) {
--- a/src/gateway/stage_planner.h
+++ b/src/gateway/stage_planner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,13 @@
   /// A decode engine ends its requests before it switches. Above this share of
   /// decode memory in use none is taken away: decode engines read prompts
   /// themselves meanwhile.
-  double max_decode_use = 0.5;
+  double max_decode_use = 0.7;
+  /// Prefill engines in use beyond this share are given another one: prompts
+  /// queue long before all of them are busy.
+  double max_prefill_use = 0.8;
+  /// Engines that fail are mostly back sooner than another one has switched.
+  /// After this long they are left out of the count.
+  duration outage_patience = seconds(10);
 };
 
 /// Orders one engine to another stage.
@@ -64,9 +71,11 @@
   /// An engine was ordered to another stage, by this process or the one that
   /// led before.
   void ordered(const std::string& server, engine_stage to, time_point now);
-  /// Returns the orders that are due now, given the engines of a service.
+  /// Returns the orders that are due now, given the engines of a service and
+  /// the ids of those that fail.
   std::vector<stage_order> plan(const std::string& service,
                                 const std::vector<listed_server>& engines,
+                                const std::set<std::string>& failing,
                                 time_point now);
 
  private:
@@ -78,6 +87,7 @@
   struct demand_of {
     std::deque<sample> samples;
     time_point since{};
+    time_point outage_since{};  // zero while no engine fails
   };
   struct given_order {
     engine_stage stage = engine_stage::none;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -190,7 +190,9 @@
     take_signs(environment(), prefill_.id, *response);
     if (response->status != status_ok) {
       note(fmt::format("prefill_refused({})", response->status));
-      end_call(server_result::refused);
+      // Full of exports, which is no fault.
+      environment().servers.answers(prefill_.id);
+      end_call(server_result::abandoned);
       prefill_refused(response->status);
       return;
     }
@@ -475,9 +477,13 @@
     conclude(next);
   }
 
-  // An engine that holds memory for the request can only miss its KV cache.
+  // An engine that holds memory for the request can only miss its KV cache,
+  // unless it was ordered to another stage meanwhile.
   void note_refusal() {
-    if (held_ && !prefill_.id.empty() && head_.status == status_unavailable) {
+    const bool switches = environment().servers.is_switching(
+        last_server_, runtime_clock::now());
+    if (held_ && !switches && !prefill_.id.empty() &&
+        head_.status == status_unavailable) {
       search_.observe(prefill_.id, engine_sign::export_gone);
     } else {
       search_.observe(last_server_, engine_sign::full);
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -315,7 +315,9 @@
     ask.gap_us = to_microseconds(milliseconds(each.gap_ms));
     scheduler.ask("g1", ask, now);
     const placement_grant grant = only(scheduler.decide(now));
-    BOOST_TEST(grant.prefill.id.empty() == each.own,
+    const bool own = grant.outcome == placement_outcome::placed &&
+                     grant.prefill.id.empty();
+    BOOST_TEST(own == each.own,
                each.prompt_tokens << " tokens, " << each.gap_ms << " ms");
   }
 }
@@ -477,10 +479,18 @@
   for (std::uint64_t id = 1; id <= 6; ++id) {
     scheduler.ask("g1", ask_for(id), start);
   }
+  int placed = 0;
   for (const placement_decision& each : scheduler.decide(start)) {
-    BOOST_TEST(each.grant.decode.id == "d1");
+    // Those whose prompt would be read too late wait.
+    if (each.grant.outcome == placement_outcome::placed) {
+      ++placed;
+      BOOST_TEST(each.grant.decode.id == "d1");
+    }
   }
+  BOOST_TEST(placed >= 2);
+  // All that waited has ended or was refused by then.
   const time_point later = start + seconds(2);
+  scheduler.decide(later);
   scheduler.ask("g1", ask_for(7), later);
   BOOST_TEST(only(scheduler.decide(later)).decode.id == "d0");
 }
@@ -570,4 +580,62 @@
   BOOST_TEST(load.prefill > 0.3);
 }
 
+// Load: several short prompts reach decode engines whose streams bear one of
+// them between two events. The next one waits until an event has passed.
+BOOST_AUTO_TEST_CASE(prompts_beside_streams_keep_an_event_apart) {
+  engine_scheduler scheduler = make_scheduler(0, 1);
+  engine_profile profile;
+  profile.kv_tokens = engine_memory;
+  profile.tokens_per_event = 12;
+  scheduler.set_profile("models", profile);
+  scheduler.ask("g1", ask_for(1, 500), start);
+  BOOST_TEST(only(scheduler.decide(start)).decode.id == "d0");
+  const time_point now = start + seconds(2);
+  std::vector<time_point> placed;
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    placement_ask ask = ask_for(id, 3000);
+    ask.gap_us = to_microseconds(milliseconds(320));
+    scheduler.ask("g1", ask, now);
+  }
+  for (int step = 0; step < 80; ++step) {
+    const time_point at = now + milliseconds(10) * step;
+    for (const placement_decision& each : scheduler.decide(at)) {
+      if (each.grant.outcome == placement_outcome::placed) {
+        placed.push_back(at);
+      }
+    }
+  }
+  BOOST_REQUIRE(placed.size() >= 2U);
+  for (std::size_t next = 1; next < placed.size(); ++next) {
+    // The prompt of the one before, and the twelve tokens of an event.
+    BOOST_TEST((placed[next] - placed[next - 1] >= milliseconds(150)));
+  }
+}
+
+// Load: the first request's prompt is too long to be read beside streams, and
+// the prefill engine is full of exports for the moment.
+BOOST_AUTO_TEST_CASE(a_long_prompt_does_not_hold_up_shorter_ones) {
+  engine_scheduler scheduler = make_scheduler(1, 1);
+  scheduler.ask("g1", ask_for(1, 2000), start);
+  BOOST_TEST(only(scheduler.decide(start)).prefill.id == "p0");
+  const time_point now = start + seconds(1);
+  engine_observation full;
+  full.server = "p0";
+  full.sign = engine_sign::exports_full;
+  scheduler.observe(full, now);
+  for (std::uint64_t id = 2; id <= 3; ++id) {
+    placement_ask ask = ask_for(id, id == 2 ? 9000 : 1500);
+    ask.gap_us = to_microseconds(milliseconds(300));
+    scheduler.ask("g1", ask, now);
+  }
+  std::map<std::uint64_t, placement_outcome> outcomes;
+  for (const placement_decision& each : scheduler.decide(now)) {
+    outcomes[each.grant.id] = each.grant.outcome;
+  }
+  BOOST_TEST((outcomes[2] == placement_outcome::queued));
+  BOOST_TEST((outcomes[3] == placement_outcome::placed));
+  const auto later = scheduler.decide(now + milliseconds(100));
+  BOOST_TEST(only(later).prefill.id == "p0");
+}
+
 }  // namespace citronwharf
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -2,6 +2,7 @@
 // repeated, retry budget, allowances, choice of servers, stages.
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <set>
 
 #include "control/key.h"
 #include "gateway/admission_filter.h"
@@ -561,6 +562,44 @@
   BOOST_TEST(!splitter.in_event());
 }
 
+// Load: an engine in trouble sends bytes that are no event until its caller
+// closes.
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_noticed) {
+  event_splitter splitter;
+  const std::string block(64U << 10U, 'x');
+  int blocks = 0;
+  while (!splitter.overflows() && blocks < 100) {
+    BOOST_TEST(splitter.feed(block).empty());
+    ++blocks;
+  }
+  BOOST_TEST(blocks <= 5);
+}
+
+BOOST_AUTO_TEST_CASE(no_engine_moves_while_some_fail) {
+  stage_planner planner({});
+  std::vector<listed_server> engines;
+  for (int at = 0; at < 12; ++at) {
+    engines.push_back(engine(
+        "e" + std::to_string(at),
+        at < 5 ? engine_stage::prefill : engine_stage::decode));
+  }
+  const std::set<std::string> failing{"e6", "e7", "e8"};
+  const auto play = [&](time_point from, duration span,
+                        const std::set<std::string>& out) {
+    std::size_t orders = 0;
+    for (time_point now = from; now < from + span;
+         now += milliseconds(100)) {
+      planner.report("models", {1.5, 9.0}, now);
+      orders += planner.plan("models", engines, out, now).size();
+    }
+    return orders;
+  };
+  // A crash is over sooner than a switch.
+  BOOST_TEST(play(start, seconds(8), failing) == 0U);
+  // Engines that stay away are left out of the count.
+  BOOST_TEST(play(start + seconds(8), seconds(8), failing) > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_is_asked_back_within_a_third_of_its_time) {
   std::mt19937_64 random(1);
   for (int drawn = 0; drawn < 1000; ++drawn) {
@@ -740,7 +779,7 @@
   time_point now = start;
   for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
     planner.report("models", {1.9, 7.0}, now);
-    for (const stage_order& order : planner.plan("models", engines, now)) {
+    for (const stage_order& order : planner.plan("models", engines, {}, now)) {
       orders.push_back(order);
     }
   }
@@ -759,7 +798,7 @@
     time_point now = from;
     for (int step = 0; step < 8; ++step, now += milliseconds(500)) {
       planner.report("models", {1.9, 7.0}, now);
-      for (const stage_order& order : planner.plan("models", engines, now)) {
+      for (const stage_order& order : planner.plan("models", engines, {}, now)) {
         out.push_back(order);
       }
     }
@@ -786,7 +825,7 @@
     time_point now = start;
     for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
       planner.report("models", load, now);
-      BOOST_TEST(planner.plan("models", engines, now).empty());
+      BOOST_TEST(planner.plan("models", engines, {}, now).empty());
     }
   }
 }
@@ -800,12 +839,12 @@
   for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
     // Prompts wait, but decode memory is in use: it isn't taken away.
     planner.report("models", {2.5, 2.8}, now);
-    BOOST_TEST(planner.plan("models", engines, now).empty());
+    BOOST_TEST(planner.plan("models", engines, {}, now).empty());
   }
   stage_planner idle({});
   for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
     idle.report("models", {0.01, 0.3}, now);
-    BOOST_TEST(idle.plan("models", engines, now).empty());
+    BOOST_TEST(idle.plan("models", engines, {}, now).empty());
   }
 }
 
