HTTP client and forwarding: bytes without end fail the call

Servers in trouble may send bytes that are no answer until their caller closes. A body could grow to 64 MiB in machines of 88 MB, several at a time; interim responses and responses to other calls were skipped for ever; a chunk extension and an event without a blank line were kept whole.

A call now has a limit for its body (1 MiB, 4 MiB for responses that callers wait for, none for streams, which are passed on), the pool one for bytes that it hasn't parsed and for responses that it skips, streams one for an event and for an error. Responses that are kept whole share 20 MiB a process. What exceeds a limit fails as a broken response does: the connection is closed, the server noted, an idempotent request goes on elsewhere, another one is answered as unknown at once.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -23,9 +23,14 @@
   std::vector<stream_event> feed(const std::string& bytes);
   /// Returns whether an event has begun and not ended.
   bool in_event() const { return !pending_.empty(); }
+  /// Returns whether the event that has begun is longer than any real one.
+  bool overflows() const { return pending_.size() > max_event_bytes; }
   void reset() { pending_.clear(); }
 
  private:
+  // Several hundred times an event of some dozen tokens.
+  static constexpr std::size_t max_event_bytes = 256U << 10U;
+
   std::string pending_;
 };
 
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -24,6 +24,27 @@
 
 namespace citronwharf {
 
+/// Memory for responses that are read whole before they are passed on. One
+/// thread.
+class response_memory {
+ public:
+  /// Takes room for bytes; false, and takes none, when there isn't enough.
+  bool take(std::size_t bytes) {
+    if (bytes > max_bytes - used_) {
+      return false;
+    }
+    used_ += bytes;
+    return true;
+  }
+  void give_back(std::size_t bytes) { used_ -= bytes; }
+
+ private:
+  // A quarter of the smallest machines' memory.
+  static constexpr std::size_t max_bytes = 20U << 20U;
+
+  std::size_t used_ = 0;
+};
+
 /// What requests of a gateway share. Outlives them; loop's thread only.
 struct forward_environment {
   boost::asio::io_context& loop;
@@ -36,6 +57,7 @@
   health_share& health;
   std::map<std::string, memory_queue>& memory_queues;  ///< by service
   std::mt19937_64& random;
+  response_memory& responses;
   std::string failure_domain;              ///< of this process
   std::function<std::size_t()> processes;  ///< of the fleet
   std::function<duration()> document_age;  ///< since it was last confirmed
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -83,6 +83,7 @@
                      health_,
                      memory_queues_,
                      random_,
+                     responses_,
                      process.options.failure_domain,
                      [this] { return cluster_.follower().processes(); },
                      [this] { return document_age(); },
@@ -148,6 +149,7 @@
   stage_controller stages_;
   std::shared_ptr<const routing_table> table_;
   std::map<std::string, memory_queue> memory_queues_;
+  response_memory responses_;
   forward_environment environment_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> readiness_;
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -12,6 +12,8 @@
 // A server that is silent for this many times the latency objective may be ill:
 // an idempotent request goes to another one.
 constexpr int silent_objectives = 2;
+// A response is kept whole until its end.
+constexpr std::uint64_t max_response_bytes = 4U << 20U;
 
 bool is_success(int status) {
   constexpr int first_success = 200;
@@ -23,7 +25,10 @@
  public:
   plain_forward(forward_environment& environment, admitted_request request)
       : forward(environment, std::move(request)), silence_(environment.loop) {}
-  ~plain_forward() override { stop(); }
+  ~plain_forward() override {
+    stop();
+    drop_response();
+  }
   plain_forward(const plain_forward&) = delete;
   plain_forward& operator=(const plain_forward&) = delete;
 
@@ -59,7 +64,7 @@
     last_server_ = server.id;
     tried_.insert(server.id);
     report_ = {};
-    response_ = {};
+    drop_response();
     note(fmt::format("send({},{},in_flight={},load={})", server.id,
                      server.address, chosen.in_flight, chosen.reported));
     environment().servers.started(server.id, 0, runtime_clock::now());
@@ -68,16 +73,17 @@
     call.organisation = request().organisation;
     call.instance = server.id;
     call.deadline = server_deadline();
+    pooled_call pooled = call_for_request(server.address);
+    pooled.max_body_bytes = max_response_bytes;
     call_ = environment().pool.start(
-        call_for_request(server.address),
-        environment().codec.make_call(request().caller, call), handlers());
+        std::move(pooled), environment().codec.make_call(request().caller, call), handlers());
     watch_silence();
   }
 
   http_call_handlers handlers() {
     http_call_handlers out;
     out.on_head = [this](const http_response& head) { response_ = head; };
-    out.on_body = [this](const std::string& part) { response_.body += part; };
+    out.on_body = [this](const std::string& part) { keep(part); };
     out.on_done = [this] { on_answer(); };
     out.on_failure = [this](const http_failure& failure) {
       note(fmt::format("lost({},sent={})",
@@ -88,6 +94,22 @@
     return out;
   }
 
+  void keep(const std::string& part) {
+    if (!environment().responses.take(part.size())) {
+      note("no_memory_for_response");
+      report_.sent = true;
+      settle(server_result::failed);
+      return;
+    }
+    kept_bytes_ += part.size();
+    response_.body += part;
+  }
+
+  void drop_response() {
+    environment().responses.give_back(std::exchange(kept_bytes_, 0));
+    response_ = {};
+  }
+
   void watch_silence() {
     const bool may_go_elsewhere = route().repeat == repeatability::idempotent &&
                                   servers_run_ + 1 < route().max_servers;
@@ -193,6 +215,7 @@
   std::optional<duration> wait_;        // until a server may be used again
   attempt_report report_;
   http_response response_;
+  std::size_t kept_bytes_ = 0;  // of the response's body
 };
 
 }  // namespace
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -43,6 +43,8 @@
 // Prefill engines that are tried after one that had no room or broke off. Each
 // costs a round trip and a part of the retry budget.
 constexpr int max_failed_prefills = 2;
+// An engine's answer that is no stream says why in a few lines.
+constexpr std::size_t max_error_bytes = 64U << 10U;
 constexpr int status_ok = 200;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -281,6 +283,10 @@
 
   void start_call(const listed_server& server, server_call call,
                   http_call_handlers handlers) {
+    pooled_call pooled = call_for_request(server.address);
+    if (call.stage == generation_stage::whole) {
+      pooled.max_body_bytes = std::nullopt;
+    }
     call.organisation = request().organisation;
     call.instance = server.id;
     call.deadline = server_deadline();
@@ -288,7 +294,7 @@
                                   runtime_clock::now());
     at_server_ = server.id;
     call_ = environment().pool.start(
-        call_for_request(server.address),
+        std::move(pooled),
         environment().codec.make_call(request().caller, call),
         std::move(handlers));
   }
@@ -351,6 +357,9 @@
   void on_body(const std::string& part) {
     if (!response_begun_) {
       error_body_ += part;
+      if (error_body_.size() > max_error_bytes) {
+        break_off("error without end");
+      }
       return;
     }
     const auto events = splitter_.feed(part);
@@ -359,12 +368,23 @@
         return;
       }
     }
+    if (splitter_.overflows()) {
+      break_off("event without end");
+      return;
+    }
     // A stalled engine may still send a byte now and then.
     if (!events.empty()) {
       watch(gap_timeout());
     }
   }
 
+  void break_off(const char* reason) {
+    note(reason);
+    report_.sent = true;
+    search_.observe(last_server_, engine_sign::failed);
+    settle(server_result::failed);
+  }
+
   duration gap_timeout() const {
     return std::max<duration>(
         min_gap_timeout,
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -33,6 +34,10 @@
 // A call nobody waits for ends after this.
 constexpr duration detached_limit = seconds(1);
 constexpr duration keep_alive_margin = milliseconds(700);
+// Bytes that were read and not parsed yet; Beast reads up to 64 KiB at once.
+constexpr std::size_t max_unparsed_bytes = 128U << 10U;
+// Late responses to other calls, and interim ones, that may precede the own.
+constexpr int max_skipped_responses = 8;
 
 std::string serialize(const std::string& address, const http_request& request) {
   std::string out = fmt::format("{} {} HTTP/1.1\r\n", request.method,
@@ -87,13 +92,12 @@
     : public std::enable_shared_from_this<pooled_connection> {
  public:
   pooled_connection(std::weak_ptr<http_pool::impl> pool, std::string address,
-                    asio::io_context& loop, std::size_t max_body_bytes)
+                    asio::io_context& loop)
       : pool_(std::move(pool)),
         address_(std::move(address)),
         socket_(loop),
         timer_(loop),
-        limit_timer_(loop),
-        max_body_bytes_(max_body_bytes) {}
+        limit_timer_(loop) {}
 
   void begin(pooled_call call, const http_request& request,
              http_call_handlers handlers);
@@ -107,6 +111,7 @@
  private:
   void connect(duration timeout);
   void exchange();
+  void expect_response();
   void read_more();
   void on_read(error_code error);
   void deliver();
@@ -121,8 +126,7 @@
   tcp::socket socket_;
   runtime_timer timer_;
   runtime_timer limit_timer_;
-  std::size_t max_body_bytes_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{max_unparsed_bytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   pooled_call call_;
   http_call_handlers handlers_;
@@ -133,6 +137,7 @@
   bool written_ = false;  // the request was written whole
   bool head_given_ = false;
   bool skipping_ = false;  // the response belongs to another call
+  int skipped_ = 0;        // responses
   bool keep_alive_ = false;
   std::optional<duration> announced_idle_;
   time_point idle_since_{};
@@ -160,8 +165,8 @@
       last->abandon();
     }
     ++opened_;
-    return std::make_shared<pooled_connection>(weak_from_this(), address, loop_,
-                                               options_.max_body_bytes);
+    return std::make_shared<pooled_connection>(weak_from_this(), address,
+                                               loop_);
   }
 
   void keep(const std::shared_ptr<pooled_connection>& connection) {
@@ -290,9 +295,16 @@
         // A failed write shows as a failed read, perhaps after a response.
         self->written_ = !error;
       });
+  skipped_ = 0;
+  expect_response();
+}
+
+void pooled_connection::expect_response() {
   parser_.emplace();
   parser_->eager(false);
-  parser_->body_limit(max_body_bytes_);
+  // Boost 1.74 takes boost::none for a limit of zero.
+  parser_->body_limit(call_.max_body_bytes.value_or(
+      std::numeric_limits<std::uint64_t>::max()));
   head_given_ = false;
   skipping_ = false;
   read_more();
@@ -346,12 +358,11 @@
     return;
   }
   if (skipping_) {
-    parser_.emplace();
-    parser_->eager(false);
-    parser_->body_limit(max_body_bytes_);
-    head_given_ = false;
-    skipping_ = false;
-    read_more();
+    if (++skipped_ > max_skipped_responses) {
+      fail(absl::UnavailableError("too many responses to other calls"));
+    } else {
+      expect_response();
+    }
     return;
   }
   complete();
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -3,8 +3,10 @@
 #define CITRONWHARF_NET_HTTP_POOL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/http_client.h"
@@ -16,7 +18,6 @@
   /// header asks for less.
   duration idle_limit = seconds(4);
   std::size_t max_idle_per_address = 16;
-  std::size_t max_body_bytes = 64U << 20U;
 };
 
 /// One call over a pooled connection.
@@ -25,6 +26,9 @@
   duration connect_timeout = milliseconds(500);
   /// A kept connection is only reused if it was idle for less than this.
   duration max_idle = seconds(4);
+  /// A longer body fails the call. Unlimited when empty: for a body that is
+  /// passed on as it arrives.
+  std::optional<std::uint64_t> max_body_bytes = 1U << 20U;
   /// Decides whether the response belongs to this call. A response that does
   /// not is skipped, and the next one on the connection is read. Accepts every
   /// response when empty.
@@ -35,7 +39,8 @@
 ///
 /// A connection is reused only after a response that was read whole, with no
 /// byte behind it and no request to close. Anything a server sends while the
-/// connection is idle closes it.
+/// connection is idle closes it. Bytes without end, in a head, in a body or as
+/// responses to other calls, fail the call and close the connection.
 class http_pool {
  public:
   http_pool(boost::asio::io_context& loop, http_pool_options options);
--- a/test/http_pool-test.cc
+++ b/test/http_pool-test.cc
@@ -158,3 +158,113 @@
   closed.close();
   BOOST_TEST(call(address) == "failed(unsent)");
 }
+
+namespace {
+
+// Answers each request with a beginning, and then with the same bytes until
+// the caller closes the connection.
+class endless_server {
+ public:
+  endless_server(boost::asio::io_context& loop, std::string beginning,
+                 const std::string& piece)
+      : acceptor_(loop, tcp::endpoint(tcp::v4(), 0)),
+        socket_(loop),
+        beginning_(std::move(beginning)) {
+    constexpr std::size_t block_bytes = 64U << 10U;
+    while (block_.size() < block_bytes) {
+      block_ += piece;
+    }
+    acceptor_.async_accept(socket_, [this](auto error) {
+      if (!error) {
+        boost::asio::async_read_until(
+            socket_, boost::asio::dynamic_buffer(request_), "\r\n\r\n",
+            [this](auto failed, std::size_t) {
+              if (!failed) {
+                write(beginning_);
+              }
+            });
+      }
+    });
+  }
+  std::string address() const {
+    return fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port());
+  }
+  std::size_t sent = 0;
+  bool closed = false;
+
+ private:
+  void write(const std::string& bytes) {
+    boost::asio::async_write(socket_, boost::asio::buffer(bytes),
+                             [this](auto error, std::size_t size) {
+                               sent += size;
+                               closed = static_cast<bool>(error);
+                               if (!closed) {
+                                 write(block_);
+                               }
+                             });
+  }
+
+  tcp::acceptor acceptor_;
+  tcp::socket socket_;
+  std::string request_;
+  std::string beginning_;
+  std::string block_;
+};
+
+}  // namespace
+
+// Load: a server in trouble sends bytes that are no answer until its caller
+// closes.
+BOOST_FIXTURE_TEST_CASE(bytes_without_end_fail_the_call, fixture) {
+  struct row {
+    std::string name;
+    std::string beginning;
+    std::string piece;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const row rows[] = {
+      {"status line", "HTTP/1.1 200 ", "x"},
+      {"header field", "HTTP/1.1 200 OK\r\nX-Id: ", "x"},
+      {"header fields", "HTTP/1.1 200 OK\r\n", "X-Id: 1\r\n"},
+      {"body to the end of the connection", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+      {"body with a length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 9999999999999\r\n\r\n", "x"},
+      {"chunks", chunked, "1\r\nx\r\n"},
+      {"chunk extension", chunked + "1;", "x"},
+      {"trailers", chunked + "0\r\n", "X-Id: 1\r\n"},
+      {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
+       "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"responses to other calls", whole, whole},
+      {"no response", "x", "x"}};
+  const auto own = [](const http_response& head) {
+    return find_header(head.headers, "X-Id") != "1";
+  };
+  // What the call may take, and what the kernel's buffers hold beside it.
+  constexpr std::size_t max_sent = 32U << 20U;
+  for (const row& each : rows) {
+    endless_server server(loop, each.beginning, each.piece);
+    BOOST_TEST(call(server.address(), own) == "failed(sent)", each.name);
+    BOOST_TEST(run_until(loop, [&] { return server.closed; }), each.name);
+    BOOST_TEST(server.sent < max_sent, each.name);
+  }
+}
+
+// A body that is passed on as it arrives has no limit.
+BOOST_FIXTURE_TEST_CASE(a_long_body_is_passed_on, fixture) {
+  constexpr std::size_t length = 8U << 20U;
+  const std::string head =
+      fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", length);
+  endless_server server(loop, head, "x");
+  pooled_call out;
+  out.address = server.address();
+  out.max_body_bytes = std::nullopt;
+  std::size_t got = 0;
+  http_call_handlers handlers;
+  bool done = false;
+  handlers.on_body = [&](const std::string& part) { got += part.size(); };
+  handlers.on_done = [&] { done = true; };
+  const auto running = pool.start(out, {"GET", "/", {}, "", ""}, handlers);
+  BOOST_TEST(run_until(loop, [&] { return done; }));
+  BOOST_TEST(got == length);
+}
