Generations wait longer for their allowance; who has left is not served

A caller that left while its request waited for its allowance or for a configuration was not noticed, since the exchange only tells of later closes: the request went on to a server.

--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -22,13 +22,13 @@
       limits_(std::move(limits)),
       timer_(loop),
       queue_timer_(loop) {
-  peers_.on<fleet_tokens_ask>(
-      [this, alive = alive_](const peer_id& from, const fleet_tokens_ask& in) {
-        if (*alive) {
-          peers_.send(from.name, make_frame(count(from.name, in)))
-              .IgnoreError();
-        }
-      });
+  peers_.on<fleet_tokens_ask>([this, alive = alive_](
+                                  const peer_id& from,
+                                  const fleet_tokens_ask& in) {
+    if (*alive) {
+      peers_.send(from.name, make_frame(count(from.name, in))).IgnoreError();
+    }
+  });
   peers_.on<fleet_tokens_reply>(
       [this, alive = alive_](const peer_id& /*from*/,
                              const fleet_tokens_reply& in) {
@@ -158,15 +158,15 @@
   if (in.surplus_tokens > 0) {
     share_.add_surplus(ask.organisation, in.surplus_tokens, now);
   }
-  ask.answer({in.granted, now - ask.asked, from_microseconds(in.wait_us),
-              "leader"});
+  ask.answer(
+      {in.granted, now - ask.asked, from_microseconds(in.wait_us), "leader"});
 }
 
 void allowance_client::decide_alone(pending_ask ask) {
   const time_point now = runtime_clock::now();
-  const duration wait = share_.take_own_part(
-      ask.organisation, limits_(ask.organisation), ask.tokens,
-      cluster_.follower().processes(), now);
+  const duration wait =
+      share_.take_own_part(ask.organisation, limits_(ask.organisation),
+                           ask.tokens, cluster_.follower().processes(), now);
   if (wait == duration{} || now >= ask.until) {
     ask.answer({wait == duration{}, now - ask.asked, wait, "own_part"});
     return;
--- a/src/gateway/allowance_client.h
+++ b/src/gateway/allowance_client.h
@@ -18,8 +18,8 @@
 /// The outcome of asking for tokens.
 struct allowance_answer {
   bool granted = false;
-  duration waited{};  ///< for the tokens
-  duration wait{};    ///< when refused: until the caller may come back
+  duration waited{};   ///< for the tokens
+  duration wait{};     ///< when refused: until the caller may come back
   const char* source;  ///< who decided: surplus, leader or own_part
 };
 
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -284,9 +284,9 @@
       return at.ejected.failed(true, options_.eject, now);
     case engine_sign::export_gone:
       // Exports that were made together lapse together.
-      return at.exports.holds(now)
-                 ? std::nullopt
-                 : std::optional<duration>(at.exports.eject(options_.eject, now));
+      return at.exports.holds(now) ? std::nullopt
+                                   : std::optional<duration>(
+                                         at.exports.eject(options_.eject, now));
   }
   return std::nullopt;
 }
@@ -485,8 +485,7 @@
 }
 
 std::optional<engine_scheduler::prefill_choice>
-engine_scheduler::choose_prefill_engine(const service& of,
-                                        const engine& decode,
+engine_scheduler::choose_prefill_engine(const service& of, const engine& decode,
                                         const placement_ask& ask,
                                         time_point now) {
   if (!ask.split) {
@@ -540,8 +539,8 @@
   if (found != among.end()) {
     return *found;
   }
-  const bool waits = ask.turn != placement_class::under_way &&
-                     may_keep_gaps(of, ask, now);
+  const bool waits =
+      ask.turn != placement_class::under_way && may_keep_gaps(of, ask, now);
   return waits ? nullptr : among.front();
 }
 
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -106,9 +106,7 @@
   if (found == accounts_.end()) {
     reserving_bucket bucket(limit, limit.burst_tokens * initial_share,
                             leads_since_);
-    found =
-        accounts_.emplace(organisation, account{std::move(bucket), {}, {}, {}})
-            .first;
+    found = accounts_.emplace(organisation, account{bucket, {}, {}, {}}).first;
   }
   reserving_bucket& bucket = found->second.bucket;
   if (!(bucket.limit() == limit)) {
@@ -121,8 +119,8 @@
 // the tokens for each accrue.
 duration fleet_allowance_home::suggest_return(account& of, double tokens,
                                               time_point now) {
-  const duration first = of.bucket.wait_for(
-      of.small.tokens + of.large.tokens + tokens, now);
+  const duration first =
+      of.bucket.wait_for(of.small.tokens + of.large.tokens + tokens, now);
   const duration booked = std::max(duration{}, of.returns_until - now);
   const double rate = of.bucket.limit().tokens_per_second;
   const duration own = rate > 0 ? from_seconds(tokens / rate) : max_wait;
@@ -160,8 +158,7 @@
   }
   out.queued = true;
   out.wait_us = to_microseconds(wait);
-  (small ? of.small : of.large)
-      .push({process, in.id, tokens, now + bearable});
+  (small ? of.small : of.large).push({process, in.id, tokens, now + bearable});
   waiting_.insert(in.organisation);
   return out;
 }
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -108,6 +108,12 @@
 
 void forward::start(std::function<void()> ended) {
   ended_ = std::move(ended);
+  if (!request_.exchange->open()) {
+    // While the request waited for its allowance or a configuration.
+    give_back_allowance();
+    on_caller_left();
+    return;
+  }
   request_.exchange->on_closed([this, alive = alive_] {
     if (*alive) {
       on_caller_left();
@@ -238,6 +244,12 @@
   }
 }
 
+void forward::give_back_allowance() {
+  if (request_.allowance_tokens > 0) {
+    environment_.give_back(request_.organisation, request_.allowance_tokens);
+  }
+}
+
 void forward::on_caller_left() {
   if (finished_) {
     return;
@@ -252,9 +264,7 @@
   if (finished_) {
     return;
   }
-  if (request_.allowance_tokens > 0) {
-    environment_.give_back(request_.organisation, request_.allowance_tokens);
-  }
+  give_back_allowance();
   const duration retry_after = suggest_retry_after(
       wait.value_or(duration{}), time_left(), environment_.random);
   request_.exchange->respond(
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -158,6 +158,7 @@
 
  private:
   void on_caller_left();
+  void give_back_allowance();  // of a request that never ran
 
   forward_environment& environment_;
   admitted_request request_;
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -29,7 +29,7 @@
 // allowance; the rest is for its server. A prompt is read in a few tenths of
 // the objective.
 constexpr double max_allowance_wait_share = 0.25;
-constexpr double max_generation_allowance_wait_share = 0.5;
+constexpr double max_generation_allowance_wait_share = 0.65;
 // Until a configuration says otherwise.
 constexpr duration retry_without_configuration = milliseconds(300);
 
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -76,7 +76,8 @@
     pooled_call pooled = call_for_request(server.address);
     pooled.max_body_bytes = max_response_bytes;
     call_ = environment().pool.start(
-        std::move(pooled), environment().codec.make_call(request().caller, call), handlers());
+        std::move(pooled),
+        environment().codec.make_call(request().caller, call), handlers());
     watch_silence();
   }
 
--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -91,8 +91,8 @@
     return {};
   }
   const sample demand = average(of, now);
-  if (of.samples.empty() || now - of.since < options_.settling || demand.prefill <= 0 ||
-      demand.decode <= 0) {
+  if (of.samples.empty() || now - of.since < options_.settling ||
+      demand.prefill <= 0 || demand.decode <= 0) {
     return {};
   }
   std::vector<const listed_server*> staged;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -500,8 +500,8 @@
   // An engine that holds memory for the request can only miss its KV cache,
   // unless it was ordered to another stage meanwhile.
   void note_refusal() {
-    const bool switches = environment().servers.is_switching(
-        last_server_, runtime_clock::now());
+    const bool switches =
+        environment().servers.is_switching(last_server_, runtime_clock::now());
     if (held_ && !switches && !prefill_.id.empty() &&
         head_.status == status_unavailable) {
       search_.observe(prefill_.id, engine_sign::export_gone);
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -303,8 +303,8 @@
   parser_.emplace();
   parser_->eager(false);
   // Boost 1.74 takes boost::none for a limit of zero.
-  parser_->body_limit(call_.max_body_bytes.value_or(
-      std::numeric_limits<std::uint64_t>::max()));
+  parser_->body_limit(
+      call_.max_body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()));
   head_given_ = false;
   skipping_ = false;
   read_more();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -236,6 +236,7 @@
       owner_->finish_stream();
     }
   }
+  bool open() const override { return owner_->current(turn_); }
   void on_closed(std::function<void()> handler) override {
     if (owner_->current(turn_)) {
       owner_->set_on_closed(std::move(handler));
@@ -272,8 +273,7 @@
   }
   // The listener may have stopped since the last response was sent.
   const auto server = server_.lock();
-  if ((!server || !server->accepting()) &&
-      socket_.available(ignored_) == 0) {
+  if ((!server || !server->accepting()) && socket_.available(ignored_) == 0) {
     close();
     return;
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -47,6 +47,8 @@
   virtual void write(std::string data) = 0;
   /// Ends a started stream as whole.
   virtual void finish() = 0;
+  /// Returns whether the caller still waits for the end of the answer.
+  virtual bool open() const = 0;
   /// Calls `handler` once when the caller's connection closes before the
   /// answer is whole. Destroying the exchange drops the handler.
   virtual void on_closed(std::function<void()> handler) = 0;
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -315,8 +315,8 @@
     ask.gap_us = to_microseconds(milliseconds(each.gap_ms));
     scheduler.ask("g1", ask, now);
     const placement_grant grant = only(scheduler.decide(now));
-    const bool own = grant.outcome == placement_outcome::placed &&
-                     grant.prefill.id.empty();
+    const bool own =
+        grant.outcome == placement_outcome::placed && grant.prefill.id.empty();
     BOOST_TEST(own == each.own,
                each.prompt_tokens << " tokens, " << each.gap_ms << " ms");
   }
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -319,7 +319,8 @@
   double lookup_at_s = 0;
   for (double at_s = 0; at_s < seconds_played; at_s += pause_s(random)) {
     for (; lookup_at_s < at_s; lookup_at_s += 0.05) {
-      importers.ask(lookup, milliseconds(75), start + from_seconds(lookup_at_s));
+      importers.ask(lookup, milliseconds(75),
+                    start + from_seconds(lookup_at_s));
     }
     importers.ask(generation, milliseconds(450), start + from_seconds(at_s));
   }
@@ -579,16 +580,15 @@
   stage_planner planner({});
   std::vector<listed_server> engines;
   for (int at = 0; at < 12; ++at) {
-    engines.push_back(engine(
-        "e" + std::to_string(at),
-        at < 5 ? engine_stage::prefill : engine_stage::decode));
+    engines.push_back(
+        engine("e" + std::to_string(at),
+               at < 5 ? engine_stage::prefill : engine_stage::decode));
   }
   const std::set<std::string> failing{"e6", "e7", "e8"};
   const auto play = [&](time_point from, duration span,
                         const std::set<std::string>& out) {
     std::size_t orders = 0;
-    for (time_point now = from; now < from + span;
-         now += milliseconds(100)) {
+    for (time_point now = from; now < from + span; now += milliseconds(100)) {
       planner.report("models", {1.5, 9.0}, now);
       orders += planner.plan("models", engines, out, now).size();
     }
@@ -798,7 +798,8 @@
     time_point now = from;
     for (int step = 0; step < 8; ++step, now += milliseconds(500)) {
       planner.report("models", {1.9, 7.0}, now);
-      for (const stage_order& order : planner.plan("models", engines, {}, now)) {
+      for (const stage_order& order :
+           planner.plan("models", engines, {}, now)) {
         out.push_back(order);
       }
     }
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -130,8 +130,10 @@
   auto call = fetch(loop, options, {"GET", "/hang", {}, "", ""},
                     [](const absl::StatusOr<http_response>&, bool) {});
   BOOST_REQUIRE(run_until(loop, [&] { return at.requests == 1; }));
+  BOOST_TEST(at.held.front()->open());
   call.reset();
   BOOST_TEST(run_until(loop, [&] { return at.left == 1; }));
+  BOOST_TEST(!at.held.front()->open());
 }
 
 BOOST_AUTO_TEST_CASE(bad_callers_get_a_4xx_before_the_handler) {
