--- a/src/gateway/stage_planner.cc
+++ b/src/gateway/stage_planner.cc
@@ -115,10 +115,8 @@
   const auto decoding = static_cast<double>(staged.size() - prefilling);
   const bool decode_has_room =
       demand.decode < options_.max_decode_use * decoding;
-  const bool starved =
-      options_.max_prefill_use * static_cast<double>(prefilling) <
-          demand.prefill &&
-      wanted > prefilling && decode_has_room;
+  const bool starved = static_cast<double>(prefilling) < demand.prefill &&
+                       wanted > prefilling && decode_has_room;
   std::size_t moves = 0;
   engine_stage to = engine_stage::none;
   if (prefilling > wanted) {
--- a/src/gateway/stage_planner.h
+++ b/src/gateway/stage_planner.h
@@ -35,10 +35,7 @@
   /// A decode engine ends its requests before it switches. Above this share of
   /// decode memory in use none is taken away: decode engines read prompts
   /// themselves meanwhile.
-  double max_decode_use = 0.7;
-  /// Prefill engines in use beyond this share are given another one: prompts
-  /// queue long before all of them are busy.
-  double max_prefill_use = 0.8;
+  double max_decode_use = 0.5;
   /// Engines that fail are mostly back sooner than another one has switched.
   /// After this long they are left out of the count.
   duration outage_patience = seconds(10);
