--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -29,10 +29,10 @@
 
 namespace {
 
-// A server that announces its idle timeout in whole seconds may be a little
-// early; a request must not cross its close.
 // A call nobody waits for ends after this.
 constexpr duration detached_limit = seconds(1);
+// A server that announces its idle timeout in whole seconds may be a little
+// early; a request must not cross its close.
 constexpr duration keep_alive_margin = milliseconds(700);
 // Bytes that were read and not parsed yet; Beast reads up to 64 KiB at once.
 constexpr std::size_t max_unparsed_bytes = 128U << 10U;
