--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -223,6 +223,20 @@
   }
 }
 
+bool forward::take_repeat() {
+  const std::string& service = request_.service->name;
+  const std::size_t processes = environment_.processes();
+  const bool taken =
+      environment_.budget.take(service, processes, runtime_clock::now());
+  if (!taken) {
+    note(fmt::format("no_budget(processes={})", processes));
+  }
+  environment_.metrics.add(
+      "citronwharf_gateway_repeats_total",
+      {{"service", service}, {"outcome", taken ? "sent" : "refused"}});
+  return taken;
+}
+
 request_progress forward::progress() const {
   request_progress out;
   out.repeat = request_.route->repeat;
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -135,6 +135,8 @@
   /// Returns how the request at the server ended.
   server_result take_answer(const server_answer& answer,
                             attempt_report& report);
+  /// Returns whether the retry budget has a further send to the service.
+  bool take_repeat();
   /// A request at a server ended: tells the list and the fleet, and logs an
   /// ejection.
   void report_end(const std::string& server, std::int64_t tokens,
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -234,6 +234,10 @@
                 [this](const std::string& server) { return leaves(server); });
   stages_.start();
   cluster_.start();
+  process_.metrics.before_page([this](metric_registry& metrics) {
+    metrics.set("citronwharf_gateway_fleet_processes", {},
+                static_cast<double>(cluster_.follower().processes()));
+  });
   return started;
 }
 
@@ -327,6 +331,8 @@
       request.received +
       std::min(route_limit, request.caller.deadline.value_or(route_limit));
   budget_.request(request.service->name, now);
+  process_.metrics.add("citronwharf_gateway_service_requests_total",
+                       {{"service", request.service->name}});
   if (found.organisation == nullptr) {
     take(std::move(request));
     return;
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -174,15 +174,10 @@
     verdict next = after_attempt(report_, progress());
     if (next == verdict::retry) {
       // A send that reached no server is no load on one.
-      const bool allowed =
-          !report_.sent || environment().budget.take(request().service->name,
-                                                     environment().processes(),
-                                                     runtime_clock::now());
-      if (allowed) {
+      if (!report_.sent || take_repeat()) {
         attempt();
         return;
       }
-      note("no_budget");
       next = without_retry(report_, progress());
     }
     conclude(next);
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -230,22 +230,19 @@
   }
 
   bool may_prefill_again() {
-    return ++failed_prefills_ <= max_failed_prefills && take_budget();
+    return ++failed_prefills_ <= max_failed_prefills && take_repeat();
   }
 
   // Nothing has run. The first prefill that an engine accepts is no extra send,
   // but one that fails is.
   void prefill_failed() {
     environment().budget.charge(request().service->name, runtime_clock::now());
+    environment().metrics.add(
+        "citronwharf_gateway_repeats_total",
+        {{"service", request().service->name}, {"outcome", "unasked"}});
     start_decode();
   }
 
-  bool take_budget() {
-    return environment().budget.take(request().service->name,
-                                     environment().processes(),
-                                     runtime_clock::now());
-  }
-
   void start_decode() {
     const listed_server& server = engines_.decode;
     if (!may_send(server)) {
@@ -486,12 +483,11 @@
     }
     verdict next = after_attempt(report_, progress());
     if (next == verdict::retry) {
-      if (!report_.sent || take_budget()) {
+      if (!report_.sent || take_repeat()) {
         search(placement_class::under_way,
                runtime_clock::now() + max_resume_wait);
         return;
       }
-      note("no_budget");
       next = without_retry(report_, progress());
     }
     conclude(next);
