Retry budget: a prompt takes its repeat before it is sent

Cause: a prompt that an engine refuses is an arrival, so that the decode after it is a repeat. stream_forward charged it after the fact, without a bound: when the budget was spent, each generation still added one or more. Class: spending that does not ask. retry_budget::charge() had this one caller and is gone. Change: a prompt takes a repeat before it is sent, and gives it back when the first engine accepts it; a refusal or a silence keeps it for what follows. Without one left, the decode engine reads the prompt, which is a first send. Why it works: each arrival that can count is paid for before it is made. sends_made_without_asking_count_against_the_budget tested charge(); replaced by what_was_taken_counts_until_it_is_given_back, which checks the same bound.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -223,18 +223,28 @@
   }
 }
 
-bool forward::take_repeat() {
+std::optional<time_point> forward::take_repeat() {
   const std::string& service = request_.service->name;
   const std::size_t processes = environment_.processes();
-  const bool taken =
-      environment_.budget.take(service, processes, runtime_clock::now());
+  const time_point now = runtime_clock::now();
+  const bool taken = environment_.budget.take(service, processes, now);
+  count_repeat(taken ? "taken" : "refused");
   if (!taken) {
     note(fmt::format("no_budget(processes={})", processes));
+    return std::nullopt;
   }
+  return now;
+}
+
+void forward::give_back_repeat(time_point taken) {
+  environment_.budget.put_back(request_.service->name, taken);
+  count_repeat("given_back");
+}
+
+void forward::count_repeat(const char* outcome) {
   environment_.metrics.add(
       "citronwharf_gateway_repeats_total",
-      {{"service", service}, {"outcome", taken ? "sent" : "refused"}});
-  return taken;
+      {{"service", request_.service->name}, {"outcome", outcome}});
 }
 
 request_progress forward::progress() const {
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -135,8 +135,10 @@
   /// Returns how the request at the server ended.
   server_result take_answer(const server_answer& answer,
                             attempt_report& report);
-  /// Returns whether the retry budget has a further send to the service.
-  bool take_repeat();
+  /// Takes a further send to the service from the retry budget. Returns when,
+  /// for give_back_repeat(); nothing where the budget has none.
+  std::optional<time_point> take_repeat();
+  void give_back_repeat(time_point taken);
   /// A request at a server ended: tells the list and the fleet, and logs an
   /// ejection.
   void report_end(const std::string& server, std::int64_t tokens,
@@ -161,6 +163,7 @@
  private:
   void on_caller_left();
   void give_back_allowance();  // of a request that never ran
+  void count_repeat(const char* outcome);
 
   forward_environment& environment_;
   admitted_request request_;
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -29,8 +29,8 @@
   of.requests.push_back(now);
 }
 
-bool retry_budget::take(const std::string& service, std::size_t processes,
-                        time_point now) {
+bool retry_budget::has(const std::string& service, std::size_t processes,
+                       time_point now) {
   counts& of = services_[service];
   forget_old(of, now);
   const double part =
@@ -38,17 +38,24 @@
   const double allowed =
       margin *
       (options_.ratio * static_cast<double>(of.requests.size()) + part);
-  if (static_cast<double>(of.extras.size()) + 1 > allowed) {
+  return static_cast<double>(of.extras.size()) + 1 <= allowed;
+}
+
+bool retry_budget::take(const std::string& service, std::size_t processes,
+                        time_point now) {
+  if (!has(service, processes, now)) {
     return false;
   }
-  of.extras.push_back(now);
+  services_[service].extras.push_back(now);
   return true;
 }
 
-void retry_budget::charge(const std::string& service, time_point now) {
-  counts& of = services_[service];
-  forget_old(of, now);
-  of.extras.push_back(now);
+void retry_budget::put_back(const std::string& service, time_point taken) {
+  std::deque<time_point>& extras = services_[service].extras;
+  const auto found = std::lower_bound(extras.begin(), extras.end(), taken);
+  if (found != extras.end() && *found == taken) {
+    extras.erase(found);
+  }
 }
 
 }  // namespace citronwharf
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -29,9 +29,11 @@
   /// Takes one send beyond the first, if the budget has one. `processes` share
   /// the slack.
   bool take(const std::string& service, std::size_t processes, time_point now);
-  /// Counts a send beyond the first that was made without asking, as when a
-  /// server refuses what is no extra send otherwise.
-  void charge(const std::string& service, time_point now);
+  /// Returns whether take() would succeed.
+  bool has(const std::string& service, std::size_t processes, time_point now);
+  /// Gives back what was taken at a time and was no send beyond the first after
+  /// all. Precondition: take() succeeded then.
+  void put_back(const std::string& service, time_point taken);
 
  private:
   struct counts {
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -114,7 +114,11 @@
     need.ask.prompt_tokens = prompt_tokens_ + made_tokens();
     need.ask.output_tokens = std::max(output_tokens_ - made_tokens(),
                                       output_tokens_ / outgrown_divisor);
-    need.ask.split = sends_ == 0 && !last_event_ && export_.handle.empty();
+    // An engine that refuses the prompt makes what follows a repeat.
+    need.ask.split = sends_ == 0 && !last_event_ && export_.handle.empty() &&
+                     environment().budget.has(request().service->name,
+                                              environment().processes(),
+                                              runtime_clock::now());
     need.ask.gap_us = to_microseconds(milliseconds(route().gap_objective_ms));
     need.ask.excluded = tried_;
     need.until = std::min(until, request().deadline);
@@ -151,6 +155,11 @@
       search_again(server);
       return;
     }
+    repeat_taken_ = take_repeat();
+    if (!repeat_taken_) {
+      start_decode();
+      return;
+    }
     prefill_ = server;
     prefill_started_ = runtime_clock::now();
     note(fmt::format("prefill({})", server.id));
@@ -167,7 +176,7 @@
           note("prefill_silent");
           search_.observe(prefill_.id, engine_sign::silent);
           end_call(server_result::timed_out);
-          prefill_failed();
+          start_decode();
         });
   }
 
@@ -180,12 +189,15 @@
                       sent ? engine_sign::failed : engine_sign::unreachable);
       end_call(sent ? server_result::failed : server_result::unreachable);
       tried_.insert(prefill_.id);
+      if (!sent) {
+        give_back_repeat();
+      }
       if (!sent || may_prefill_again()) {
         // Another engine may read the prompt.
         search(placement_class::under_way,
                request().received + milliseconds(route().objective_ms));
       } else {
-        prefill_failed();
+        start_decode();
       }
       return;
     }
@@ -199,11 +211,16 @@
       return;
     }
     end_call(server_result::served);
+    // The first prompt that an engine accepts is no send beyond the first.
+    if (!prefilled_) {
+      give_back_repeat();
+    }
+    prefilled_ = true;
     auto exported = environment().codec.read_prefill(response->body);
     if (!exported.ok()) {
       note(fmt::format("prefill_unreadable({})",
                        std::string(exported.status().message())));
-      prefill_failed();
+      start_decode();
       return;
     }
     export_ = *std::move(exported);
@@ -222,25 +239,19 @@
                                      ? engine_sign::exports_full
                                      : engine_sign::unreachable);
     if (!may_prefill_again()) {
-      prefill_failed();
+      start_decode();
       return;
     }
     search(placement_class::under_way,
            request().received + milliseconds(route().objective_ms));
   }
 
-  bool may_prefill_again() {
-    return ++failed_prefills_ <= max_failed_prefills && take_repeat();
-  }
+  bool may_prefill_again() { return ++failed_prefills_ <= max_failed_prefills; }
 
-  // Nothing has run. The first prefill that an engine accepts is no extra send,
-  // but one that fails is.
-  void prefill_failed() {
-    environment().budget.charge(request().service->name, runtime_clock::now());
-    environment().metrics.add(
-        "citronwharf_gateway_repeats_total",
-        {{"service", request().service->name}, {"outcome", "unasked"}});
-    start_decode();
+  void give_back_repeat() {
+    if (repeat_taken_) {
+      forward::give_back_repeat(*std::exchange(repeat_taken_, std::nullopt));
+    }
   }
 
   void start_decode() {
@@ -571,7 +582,9 @@
   listed_server prefill_;
   time_point prefill_started_{};
   int failed_prefills_ = 0;
-  exported_prefill export_;  // handle "" without one
+  bool prefilled_ = false;                  // an engine accepted the prompt
+  std::optional<time_point> repeat_taken_;  // for the prompt under way
+  exported_prefill export_;                 // handle "" without one
   time_point exported_at_{};
   listed_server cached_at_;  // an engine that has read the prompt, or none
   bool held_ = false;        // memory, for the present attempt
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -208,12 +208,18 @@
   BOOST_TEST(fleet[0].take("models", processes, start + seconds(11)));
 }
 
-BOOST_AUTO_TEST_CASE(sends_made_without_asking_count_against_the_budget) {
+BOOST_AUTO_TEST_CASE(what_was_taken_counts_until_it_is_given_back) {
   retry_budget budget({0.0, 10, seconds(10)});
   for (int refused = 0; refused < 8; ++refused) {
-    budget.charge("models", start);
+    BOOST_TEST(budget.take("models", 1, start + milliseconds(refused)));
   }
-  BOOST_TEST(!budget.take("models", 1, start));
+  const time_point later = start + seconds(1);
+  BOOST_TEST(!budget.has("models", 1, later));
+  BOOST_TEST(!budget.take("models", 1, later));
+  budget.put_back("models", start + milliseconds(3));
+  budget.put_back("models", start + milliseconds(500));  // none was taken then
+  BOOST_TEST(budget.take("models", 1, later));
+  BOOST_TEST(!budget.take("models", 1, later));
 }
 
 namespace {
--- a/test/gateway-servers-test.cc
+++ b/test/gateway-servers-test.cc
@@ -151,6 +151,50 @@
   BOOST_TEST(holds() == told);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    prompts_that_engines_refuse_stay_within_the_retry_budget, two_desks) {
+  stand_in_server more[2] = {stand_in_server(loop), stand_in_server(loop)};
+  add("p2", "models", "prefill", more[0]);
+  add("p3", "models", "prefill", more[1]);
+  const auto refuse = [](const http_request& /*request*/,
+                         std::unique_ptr<http_exchange> exchange) {
+    exchange->respond(reply(503, "", {{"Citronwharf-Not-Run", "1"}}));
+  };
+  prefill.answers = refuse;
+  more[0].answers = refuse;
+  more[1].answers = refuse;
+  const auto runs = [](const stand_in_server& at) {
+    return std::count_if(
+        at.seen.begin(), at.seen.end(),
+        [](const http_request& each) { return each.target == "/s/1"; });
+  };
+  constexpr int waves = 40;
+  constexpr int at_once = 8;
+  int served = 0;
+  for (int wave = 0; wave < waves; ++wave) {
+    std::vector<std::unique_ptr<http_call>> calls;
+    int ended = 0;
+    for (int each = 0; each < at_once; ++each) {
+      calls.push_back(
+          fetch(loop, {callers}, prompt_to("/s/1"),
+                [&](absl::StatusOr<http_response> response, bool /*sent*/) {
+                  ++ended;
+                  served += response.ok() && response->status == 200 ? 1 : 0;
+                }));
+    }
+    BOOST_REQUIRE(run_until(loop, [&] { return ended == at_once; }));
+    pass(std::chrono::milliseconds(60));
+  }
+  const auto arrivals = runs(prefill) + runs(more[0]) + runs(more[1]) +
+                        runs(decode) + runs(other_decode);
+  constexpr int requests = waves * at_once;
+  // The defaults of the settings, over one window.
+  constexpr double allowed = 0.2 * requests + 60;
+  BOOST_TEST(served >= requests * 9 / 10);
+  BOOST_TEST(runs(prefill) > 0);
+  BOOST_TEST(static_cast<double>(arrivals - requests) <= allowed);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_server_that_asks_to_be_spared_is_spared, two_desks) {
   bool full = true;
   std::vector<steady::time_point> reached;
