Published document: a member that just started counts no fleet

What could be seen: more repeats than allowed after a kill of all processes. Each divides the slack of the retry budget (and, without a leader, the allowances) by the number of processes. The first reply to a poll replaced the number for an unknown fleet, as the time of the last one was the clock's origin; it may come from a member that has itself met two others, or from a process outside the group that only some poll: 48 of 96 for each of 28 processes. Class: an unknown value that reads as a small one. Change: only members count, from three seconds after their start on, when all who poll have done so; the larger of ten seconds counts, in a window that slides (recent_maximum), where a single late reply replaced it before.

--- a/src/control/document_cluster.cc
+++ b/src/control/document_cluster.cc
@@ -62,6 +62,7 @@
 // The replica hands over what its disk holds while it opens, so it is opened
 // last.
 void document_cluster::start() {
+  started_ = runtime_clock::now();
   set_handlers();
   set_seeds(process_.options.gateway.seeds);
   follower_->start();
@@ -188,7 +189,9 @@
     const bool silent = now - each->second > poller_lifetime;
     each = silent ? polled_.erase(each) : std::next(each);
   }
-  return std::max<std::uint64_t>(1, polled_.size());
+  // Every process polls every member, once it has a session with it.
+  const bool met_all = now - started_ > poller_lifetime;
+  return met_all ? polled_.size() : 0;
 }
 
 void document_cluster::answer_poll(const peer_id& from,
@@ -197,11 +200,11 @@
   polled_[from.name] = now;
   document_poll_reply out;
   out.id = in.id;
-  out.processes = count_processes(now);
   const replica_status status =
       replica_ ? replica_->status() : replica_status{};
   if (!status.members.empty()) {
     out.replica = status.id;
+    out.processes = count_processes(now);
     out.applied_revision = machine_.current().revision;
     out.newest_revision =
         out.applied_revision + replica_->unapplied(document_machine::kind);
--- a/src/control/document_cluster.h
+++ b/src/control/document_cluster.h
@@ -84,6 +84,7 @@
   bool changing_members_ = false;
   time_point reopen_at_ = time_point::max();
   std::map<std::string, time_point> polled_;  // last poll, by process
+  time_point started_{};
   std::uint64_t last_publish_ = 0;
   std::map<std::uint64_t, pending_publish> publishing_;
   std::uint64_t pushed_revision_ = 0;
--- a/src/control/document_follower.cc
+++ b/src/control/document_follower.cc
@@ -29,7 +29,8 @@
       timer_(loop),
       freshness_(options_.lease),
       random_(seed),
-      on_document_(std::move(on_document)) {}
+      on_document_(std::move(on_document)),
+      processes_(unknown_processes, processes_lifetime) {}
 
 document_follower::~document_follower() {
   *alive_ = false;
@@ -131,10 +132,8 @@
   }
   const time_point now = runtime_clock::now();
   learn_members(in);
-  const std::uint64_t heard = std::max<std::uint64_t>(1, in.processes);
-  if (heard >= processes_ || now - processes_at_ > processes_lifetime) {
-    processes_ = heard;
-    processes_at_ = now;
+  if (in.processes > 0) {
+    processes_.add(in.processes, now);
   }
   if (!in.replica.empty()) {
     freshness_.answered({in.replica, in.newest_revision, voter_ids(in.members)},
--- a/src/control/document_follower.h
+++ b/src/control/document_follower.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/recent_maximum.h"
 #include "control/freshness.h"
 #include "net/peer_hub.h"
 #include "wire/document_messages.h"
@@ -58,9 +59,9 @@
   const std::vector<control_member>& members() const { return members_; }
   /// Process name of the leader, or "".
   const std::string& leader() const { return leader_; }
-  /// Processes of the fleet, this one included: the most that was heard of
-  /// within seconds, since a leader that just started has not met all yet.
-  std::uint64_t processes() const { return processes_; }
+  /// Processes of the fleet, this one included: the most that a member counted
+  /// within seconds, since one that was away has not met all yet.
+  std::uint64_t processes() const { return processes_.value(); }
 
   /// Calls `done` once a majority has confirmed, after this call, that the
   /// copy held then is the newest; with false when that takes too long.
@@ -95,8 +96,7 @@
   std::vector<control_member> members_;
   std::uint64_t term_ = 0;
   std::string leader_;
-  std::uint64_t processes_ = unknown_processes;
-  time_point processes_at_{};
+  recent_maximum processes_;
   std::map<std::uint64_t, time_point> polls_;  // sent, by poll id
   std::uint64_t last_poll_ = 0;
   time_point fetched_at_{};
--- a/src/wire/document_messages.h
+++ b/src/wire/document_messages.h
@@ -32,7 +32,8 @@
   std::uint64_t term = 0;
   std::string leader;  ///< process name, "" when unknown
   std::vector<control_member> members;
-  std::uint64_t processes = 0;  ///< that polled this one within seconds
+  /// That polled this member within seconds; 0 where it can't know yet.
+  std::uint64_t processes = 0;
 };
 CITRONWHARF_VALUE(document_poll_reply, id, replica, newest_revision,
                   applied_revision, term, leader, members, processes)
--- a/test/document_cluster-test.cc
+++ b/test/document_cluster-test.cc
@@ -118,6 +118,13 @@
   require_version(changes + 3 * snapshot_entries);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_member_that_just_started_counts_no_fleet, world) {
+  start();
+  publish(1);
+  require_version(1);
+  BOOST_TEST(running->cluster().follower().processes() == unknown_processes);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_process_starts_from_entries_alone, world) {
   start();
   publish(snapshot_entries / 2);
