Gateway: what a configuration says of a request is one value with its table

Callers saw: a gateway ended by itself (exit 134) when a key was withdrawn while requests waited for their allowance; all its connections broke off. Cause: filter_again() gave the request the new table, which freed the old one; request.service still pointed into it, and answer_refused() logged its name. Class: pointers into something that a reload replaces, kept beside its owner and changed one by one. The new test, on the code before: the process is gone after the first round, and 401 carries a Retry-After. Change: resolution, an immutable value of table, route, service and organisation; a request gets another one as a whole.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -37,16 +37,13 @@
                  const std::string& reason, std::int64_t sends,
                  const std::string& server, bool good) {
   const duration elapsed = runtime_clock::now() - request.received;
-  const std::string route = request.route ? request.route->name : "";
-  const std::string service = request.service ? request.service->name : "";
-  const std::uint64_t version = request.table ? request.table->version() : 0;
+  const resolution& resolved = request.resolved;
   log_event(good ? events::gateway_request : events::gateway_request_failed,
-            request.caller.id, request.organisation, route, service, status,
-            reason, version, to_ms(environment.document_age()), sends, server,
-            to_ms(elapsed), request.trail);
-  const std::string kind = request.route == nullptr ? "none"
-                           : request.route->stream  ? "stream"
-                                                    : "plain";
+            request.caller.id, resolved.organisation(), resolved.route_name(),
+            resolved.service_name(), status, reason, resolved.version(),
+            to_ms(environment.document_age()), sends, server, to_ms(elapsed),
+            request.trail);
+  const std::string kind = resolved.kind();
   environment.metrics.add("citronwharf_gateway_requests_total",
                           {{"kind", kind},
                            {"status", fmt::format("{}", status)},
@@ -68,6 +65,14 @@
   return std::max(duration{}, std::min(max_wait, std::max(wait, spread)));
 }
 
+void give_back_allowance(const forward_environment& environment,
+                         const admitted_request& request) {
+  if (request.allowance_tokens > 0) {
+    environment.give_back(request.resolved.organisation(),
+                          request.allowance_tokens);
+  }
+}
+
 void answer_refused(forward_environment& environment, admitted_request& request,
                     int status, const std::string& reason,
                     std::optional<duration> retry_after) {
@@ -110,7 +115,7 @@
   ended_ = std::move(ended);
   if (!request_.exchange->open()) {
     // While the request waited for its allowance or a configuration.
-    give_back_allowance();
+    give_back_allowance(environment_, request_);
     on_caller_left();
     return;
   }
@@ -167,7 +172,7 @@
 
 pooled_call forward::call_for_request(const std::string& address) const {
   pooled_call out = call_to(environment_, address);
-  if (request_.route->repeat == repeatability::at_most_once) {
+  if (route().repeat == repeatability::at_most_once) {
     out.max_idle = max_idle_at_most_once;
   }
   // A late response to an earlier request may stand before the own one.
@@ -224,10 +229,10 @@
 }
 
 std::optional<time_point> forward::take_repeat() {
-  const std::string& service = request_.service->name;
+  const std::string& to = service().name;
   const std::size_t processes = environment_.processes();
   const time_point now = runtime_clock::now();
-  const bool taken = environment_.budget.take(service, processes, now);
+  const bool taken = environment_.budget.take(to, processes, now);
   count_repeat(taken ? "taken" : "refused");
   if (!taken) {
     note(fmt::format("no_budget(processes={})", processes));
@@ -237,20 +242,19 @@
 }
 
 void forward::give_back_repeat(time_point taken) {
-  environment_.budget.put_back(request_.service->name, taken);
+  environment_.budget.put_back(service().name, taken);
   count_repeat("given_back");
 }
 
 void forward::count_repeat(const char* outcome) {
-  environment_.metrics.add(
-      "citronwharf_gateway_repeats_total",
-      {{"service", request_.service->name}, {"outcome", outcome}});
+  environment_.metrics.add("citronwharf_gateway_repeats_total",
+                           {{"service", service().name}, {"outcome", outcome}});
 }
 
 request_progress forward::progress() const {
   request_progress out;
-  out.repeat = request_.route->repeat;
-  out.max_servers = request_.route->max_servers;
+  out.repeat = route().repeat;
+  out.max_servers = route().max_servers;
   out.servers_run = servers_run_;
   out.sends = sends_;
   out.time_left = time_left();
@@ -268,12 +272,6 @@
   }
 }
 
-void forward::give_back_allowance() {
-  if (request_.allowance_tokens > 0) {
-    environment_.give_back(request_.organisation, request_.allowance_tokens);
-  }
-}
-
 void forward::on_caller_left() {
   if (finished_) {
     return;
@@ -288,7 +286,7 @@
   if (finished_) {
     return;
   }
-  give_back_allowance();
+  give_back_allowance(environment_, request_);
   const duration retry_after = suggest_retry_after(
       wait.value_or(duration{}), time_left(), environment_.random);
   request_.exchange->respond(
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -16,6 +16,7 @@
 #include "gateway/health_share.h"
 #include "gateway/memory_queue.h"
 #include "gateway/placement_client.h"
+#include "gateway/resolution.h"
 #include "gateway/retry_budget.h"
 #include "gateway/server_list.h"
 #include "net/http_pool.h"
@@ -61,7 +62,7 @@
   std::string failure_domain;              ///< of this process
   std::function<std::size_t()> processes;  ///< of the fleet
   std::function<duration()> document_age;  ///< since it was last confirmed
-  /// Gives back the allowance of a request that never ran.
+  /// Adds tokens to what an organisation may use.
   std::function<void(const std::string& organisation, double tokens)> give_back;
 };
 
@@ -69,11 +70,8 @@
 struct admitted_request {
   caller_request caller;
   std::unique_ptr<http_exchange> exchange;
-  std::shared_ptr<const routing_table> table;
-  const gateway_route* route = nullptr;      ///< in the table
-  const gateway_service* service = nullptr;  ///< in the table
-  std::string organisation;
-  double allowance_tokens = 0;  ///< that were granted
+  resolution resolved;
+  double allowance_tokens = 0;  ///< that were granted to its organisation
   time_point received;
   time_point deadline;  ///< of the caller and the route, the earlier one
   std::string trail;    ///< decisions so far
@@ -149,7 +147,8 @@
   forward_environment& environment() { return environment_; }
   admitted_request& request() { return request_; }
   const admitted_request& request() const { return request_; }
-  const gateway_route& route() const { return *request_.route; }
+  const gateway_route& route() const { return request_.resolved.route(); }
+  const gateway_service& service() const { return request_.resolved.service(); }
   request_progress progress() const;
 
   std::int64_t sends_ = 0;        // attempts at servers
@@ -162,7 +161,6 @@
 
  private:
   void on_caller_left();
-  void give_back_allowance();  // of a request that never ran
   void count_repeat(const char* outcome);
 
   forward_environment& environment_;
@@ -172,6 +170,10 @@
   bool finished_ = false;
 };
 
+/// Gives back the allowance of a request that never ran.
+void give_back_allowance(const forward_environment& environment,
+                         const admitted_request& request);
+
 /// Answers a request that a filter refuses, and logs it.
 void answer_refused(forward_environment& environment, admitted_request& request,
                     int status, const std::string& reason,
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -94,10 +94,7 @@
         room_(
             process.loop, {},
             [this] { return knows_enough(runtime_clock::now()); },
-            [this](admitted_request request) {
-              request.table = table_;
-              filter(std::move(request));
-            }),
+            [this](admitted_request request) { filter(std::move(request)); }),
         drain_timer_(process.loop) {}
 
   absl::Status start() override;
@@ -128,6 +125,8 @@
   void allow(admitted_request request, const gateway_organisation& of);
   void on_allowance(const std::shared_ptr<admitted_request>& held,
                     double tokens, const allowance_answer& answer);
+  resolution resolve(const filter_result& found);
+  void refuse(admitted_request& request, const filter_refusal& refusal);
   void filter_again(const std::shared_ptr<admitted_request>& held);
   void take(admitted_request request);
   std::string choose_service(const gateway_route& route);
@@ -304,56 +303,59 @@
   request.received = runtime_clock::now();
   request.caller = codec_.read_request(std::move(message));
   request.exchange = std::move(exchange);
-  request.table = table_;
   filter(std::move(request));
 }
 
 void gateway_role::filter(admitted_request request) {
   const time_point now = runtime_clock::now();
-  const filter_result found = pass_filters(*request.table, request.caller,
-                                           cluster_.follower().fresh(now));
-  request.route = found.route;
+  const filter_result found =
+      pass_filters(*table_, request.caller, cluster_.follower().fresh(now));
   if (!knows_enough(now) && room_.admits(request, now) &&
       (!found.refusal || found.refusal->come_back)) {
     room_.hold(std::move(request));
     return;
   }
+  request.resolved = resolve(found);
   if (found.refusal) {
-    const auto wait = found.refusal->come_back
-                          ? std::optional<duration>(retry_without_configuration)
-                          : std::nullopt;
-    answer_refused(environment_, request, found.refusal->status,
-                   found.refusal->reason, wait);
+    refuse(request, *found.refusal);
     return;
   }
-  request.service = request.table->find_service(choose_service(*found.route));
   const milliseconds route_limit(found.route->timeout_ms);
   request.deadline =
       request.received +
       std::min(route_limit, request.caller.deadline.value_or(route_limit));
-  if (found.organisation == nullptr) {
-    take(std::move(request));
-    return;
-  }
-  request.organisation = found.organisation->name;
-  if (found.organisation->tokens_per_second <= 0) {
+  if (found.organisation == nullptr ||
+      found.organisation->tokens_per_second <= 0) {
     take(std::move(request));
     return;
   }
   allow(std::move(request), *found.organisation);
 }
 
+resolution gateway_role::resolve(const filter_result& found) {
+  return {table_, found, found.refusal ? "" : choose_service(*found.route)};
+}
+
+void gateway_role::refuse(admitted_request& request,
+                          const filter_refusal& refusal) {
+  const auto wait = refusal.come_back
+                        ? std::optional<duration>(retry_without_configuration)
+                        : std::nullopt;
+  answer_refused(environment_, request, refusal.status, refusal.reason, wait);
+}
+
 void gateway_role::allow(admitted_request request,
                          const gateway_organisation& of) {
   const double tokens = allowance_tokens(of, request.caller);
   // Shared, since std::function asks for closures that can be copied.
   auto held = std::make_shared<admitted_request>(std::move(request));
   ++asking_;
-  const double share = held->route->stream ? max_generation_allowance_wait_share
-                                           : max_allowance_wait_share;
+  const gateway_route& route = held->resolved.route();
+  const double share = route.stream ? max_generation_allowance_wait_share
+                                    : max_allowance_wait_share;
   const auto max_wait = std::chrono::duration_cast<duration>(
-      milliseconds(held->route->objective_ms) * share);
-  allowances_.take(held->organisation, tokens, max_wait,
+      milliseconds(route.objective_ms) * share);
+  allowances_.take(held->resolved.organisation(), tokens, max_wait,
                    [this, held, tokens](const allowance_answer& answer) {
                      on_allowance(held, tokens, answer);
                    });
@@ -374,7 +376,7 @@
     return;
   }
   held->allowance_tokens = tokens;
-  if (held->table == table_ &&
+  if (held->resolved.is_of(table_) &&
       cluster_.follower().fresh(runtime_clock::now())) {
     take(std::move(*held));
   } else {
@@ -382,30 +384,32 @@
   }
 }
 
-// The configuration may have changed while the request waited; what was
-// granted stays granted.
+// The configuration may have changed while the request waited. What was granted
+// stays granted, but for a request that is refused now, or is another
+// organisation's.
 void gateway_role::filter_again(const std::shared_ptr<admitted_request>& held) {
-  held->table = table_;
-  const filter_result found =
-      pass_filters(*held->table, held->caller,
-                   cluster_.follower().fresh(runtime_clock::now()));
-  held->route = found.route;
-  if (found.refusal) {
-    answer_refused(environment_, *held, found.refusal->status,
-                   found.refusal->reason, retry_without_configuration);
-    end_if_idle();
+  const filter_result found = pass_filters(
+      *table_, held->caller, cluster_.follower().fresh(runtime_clock::now()));
+  const std::string granted_to = held->resolved.organisation();
+  const bool same = !found.refusal && found.organisation != nullptr &&
+                    found.organisation->name == granted_to;
+  if (same) {
+    held->resolved = resolve(found);
+    take(std::move(*held));
     return;
   }
-  held->service = held->table->find_service(choose_service(*found.route));
-  take(std::move(*held));
+  give_back_allowance(environment_, *held);
+  held->allowance_tokens = 0;
+  filter(std::move(*held));
+  end_if_idle();
 }
 
 void gateway_role::take(admitted_request request) {
-  const std::string& service = request.service->name;
+  const std::string service = request.resolved.service_name();
   budget_.request(service, request.received, runtime_clock::now());
   process_.metrics.add("citronwharf_gateway_service_requests_total",
                        {{"service", service}});
-  const bool stream = request.route->stream;
+  const bool stream = request.resolved.route().stream;
   auto made = stream ? make_stream_forward(environment_, std::move(request))
                      : make_plain_forward(environment_, std::move(request));
   const std::uint64_t id = ++last_forward_;
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -43,14 +43,14 @@
 
   void attempt() {
     server_need need;
-    need.service = request().service->name;
+    need.service = service().name;
     need.near = environment().failure_domain;
     need.excluded = tried_;
     const time_point now = runtime_clock::now();
     auto chosen = environment().servers.choose(need, now);
     if (!chosen) {
       note("no_server");
-      wait_ = environment().servers.spared_for(request().service->name, now);
+      wait_ = environment().servers.spared_for(service().name, now);
       give_up();
       return;
     }
@@ -70,7 +70,7 @@
     environment().servers.started(server.id, 0, runtime_clock::now());
     at_server_ = true;
     server_call call;
-    call.organisation = request().organisation;
+    call.organisation = request().resolved.organisation();
     call.instance = server.id;
     call.deadline = server_deadline();
     pooled_call pooled = call_for_request(server.address);
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -105,9 +105,9 @@
   // service instead of two.
   void search(placement_class turn, time_point until) {
     engine_need need;
-    need.ask.service = request().service->name;
-    need.profile = request().service->engine.value_or(engine_profile{});
-    need.ask.organisation = request().organisation;
+    need.ask.service = service().name;
+    need.profile = service().engine.value_or(engine_profile{});
+    need.ask.organisation = request().resolved.organisation();
     const std::vector<prompt_part>& prompt = request().caller.prompt;
     need.ask.prompt = prompt.empty() ? "" : prompt.back().id;
     need.ask.turn = turn;
@@ -115,10 +115,10 @@
     need.ask.output_tokens = std::max(output_tokens_ - made_tokens(),
                                       output_tokens_ / outgrown_divisor);
     // An engine that refuses the prompt makes what follows a repeat.
-    need.ask.split = sends_ == 0 && !last_event_ && export_.handle.empty() &&
-                     environment().budget.has(request().service->name,
-                                              environment().processes(),
-                                              runtime_clock::now());
+    need.ask.split =
+        sends_ == 0 && !last_event_ && export_.handle.empty() &&
+        environment().budget.has(service().name, environment().processes(),
+                                 runtime_clock::now());
     need.ask.gap_us = to_microseconds(milliseconds(route().gap_objective_ms));
     need.ask.excluded = tried_;
     need.until = std::min(until, request().deadline);
@@ -127,7 +127,7 @@
 
   // Tokens of the events that the caller has.
   std::int64_t made_tokens() const {
-    const auto& engine = request().service->engine;
+    const auto& engine = service().engine;
     return engine ? events_ * engine->tokens_per_event : 0;
   }
 
@@ -295,7 +295,7 @@
     if (call.stage == generation_stage::whole) {
       pooled.max_body_bytes = std::nullopt;
     }
-    call.organisation = request().organisation;
+    call.organisation = request().resolved.organisation();
     call.instance = server.id;
     call.deadline = server_deadline();
     environment().servers.started(server.id, prompt_tokens_,
@@ -434,9 +434,7 @@
     }
     if (++paced_events_ == paced_events + 1) {
       const std::int64_t per_event =
-          request().service->engine
-              ? request().service->engine->tokens_per_event
-              : 1;
+          service().engine ? service().engine->tokens_per_event : 1;
       search_.observe_speed(last_server_, engine_sign::paced,
                             paced_events * per_event, now - pace_from_);
     }
@@ -518,7 +516,7 @@
   }
 
   bool export_usable() const {
-    const auto& engine = request().service->engine;
+    const auto& engine = service().engine;
     return !export_.handle.empty() && engine &&
            runtime_clock::now() - exported_at_ + export_margin <
                milliseconds(engine->export_lifetime_ms);
--- a/test/gateway-servers-test.cc
+++ b/test/gateway-servers-test.cc
@@ -151,6 +151,36 @@
   BOOST_TEST(holds() == told);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_key_withdrawn_during_a_wait_for_tokens_gets_401,
+                        two_desks) {
+  constexpr int tokens_per_second = 4000;
+  for (int round = 0; round < 5; ++round) {
+    const int version = 10 + 2 * round;
+    BOOST_REQUIRE(publish(version, "k1", tokens_per_second).status == 200);
+    wait_served();
+    pass(std::chrono::milliseconds(200));
+    std::vector<http_response> got;
+    std::vector<std::unique_ptr<http_call>> calls;
+    constexpr std::size_t prompts = 6;
+    for (std::size_t each = 0; each < prompts; ++each) {
+      calls.push_back(fetch(
+          loop, {callers}, prompt_to("/s/1"),
+          [&](absl::StatusOr<http_response> response, bool /*sent*/) {
+            got.push_back(response.ok() ? *std::move(response) : reply(0, ""));
+          }));
+    }
+    pass(std::chrono::milliseconds(50));
+    BOOST_REQUIRE(publish(version + 1, "k2", tokens_per_second).status == 200);
+    BOOST_REQUIRE(run_until(loop, [&] { return got.size() == prompts; }));
+    const auto refused =
+        std::find_if(got.begin(), got.end(),
+                     [](const auto& each) { return each.status == 401; });
+    BOOST_REQUIRE((refused != got.end()));
+    BOOST_TEST(find_header(refused->headers, "Retry-After").empty());
+    BOOST_REQUIRE(gateway->running());
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(
     prompts_that_engines_refuse_stay_within_the_retry_budget, two_desks) {
   stand_in_server more[2] = {stand_in_server(loop), stand_in_server(loop)};
