Allowances: what gateways grant by themselves is counted; scarce parts draw

Cause: gateways that can't reach the leader grant by parts of their own, beside what a leader counts whole: a full part of the burst each, and a request larger than the part (12,000 of 4,860 tokens) whole: 28 x 12,000 tokens beside the burst. No leader heard of it; refunds of such grants went to the leader. Class: a bound kept by two counts that don't know each other. Change: a reply says whether the organisation is near its limit (scarce); a gateway's part of it holds then what accrued since that word, and a request larger than what is there is granted with the share that it stakes, so that the fleet's grants add up to the parts. What gateways granted by themselves goes to the leader when it answers again, which counts it where it led meanwhile. Refunds name the age of the grant; a leader takes back only what it granted itself. citronwharf_gateway_allowance_tokens_total{source} shows who granted.

--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -16,9 +16,10 @@
 
 allowance_client::allowance_client(boost::asio::io_context& loop,
                                    peer_hub& peers, document_cluster& cluster,
-                                   limit_of limits)
+                                   std::uint64_t seed, limit_of limits)
     : peers_(peers),
       cluster_(cluster),
+      random_(seed),
       limits_(std::move(limits)),
       timer_(loop),
       queue_timer_(loop) {
@@ -43,6 +44,13 @@
           home_.refund(in, runtime_clock::now());
         }
       });
+  peers_.on<fleet_tokens_spent>(
+      [this, alive = alive_](const peer_id& /*from*/,
+                             const fleet_tokens_spent& in) {
+        if (*alive && cluster_.leads()) {
+          home_.charge(in, limits_(in.organisation), runtime_clock::now());
+        }
+      });
 }
 
 allowance_client::~allowance_client() {
@@ -94,17 +102,35 @@
   arm_queue();
 }
 
+// What a part gave for nothing is not worth a message.
 void allowance_client::give_back(const std::string& organisation,
-                                 double tokens) {
-  const fleet_tokens_refund out{organisation, tokens};
+                                 const allowance_grant& of) {
+  if (!of.by_leader || of.tokens <= 0) {
+    return;
+  }
+  const time_point now = runtime_clock::now();
+  const fleet_tokens_refund out{organisation, of.tokens,
+                                to_microseconds(now - of.at)};
   if (cluster_.leads()) {
-    home_.refund(out, runtime_clock::now());
+    home_.refund(out, now);
     return;
   }
   // Lost with the leader, which then starts to count anew.
   peers_.send(cluster_.follower().leader(), make_frame(out)).IgnoreError();
 }
 
+// A leader that can't be reached again doesn't count it either.
+void allowance_client::tell_spent() {
+  const time_point now = runtime_clock::now();
+  for (const fleet_tokens_spent& each : share_.take_spent(now)) {
+    if (cluster_.leads()) {
+      home_.charge(each, limits_(each.organisation), now);
+    } else {
+      peers_.send(cluster_.follower().leader(), make_frame(each)).IgnoreError();
+    }
+  }
+}
+
 void allowance_client::take(const std::string& organisation, double tokens,
                             duration max_wait, done answer) {
   const time_point now = runtime_clock::now();
@@ -142,8 +168,11 @@
   if (found == asks_.end()) {
     return;
   }
-  share_.leader_answered();
   const time_point now = runtime_clock::now();
+  share_.leader_answered(found->second.organisation, in, now);
+  if (in.leads) {
+    tell_spent();
+  }
   if (in.queued) {
     found->second.deadline = now + from_microseconds(in.wait_us) + ask_timeout;
     arm();
@@ -164,11 +193,12 @@
 
 void allowance_client::decide_alone(pending_ask ask) {
   const time_point now = runtime_clock::now();
-  const duration wait =
-      share_.take_own_part(ask.organisation, limits_(ask.organisation),
-                           ask.tokens, cluster_.follower().processes(), now);
+  const duration wait = share_.take_own_part(
+      ask.organisation, limits_(ask.organisation), ask.tokens,
+      cluster_.follower().processes(),
+      std::uniform_real_distribution<double>(0, 1)(random_), now);
   if (wait == duration{} || now >= ask.until) {
-    ask.answer({wait == duration{}, now - ask.asked, wait, "own_part"});
+    ask.answer({wait == duration{}, now - ask.asked, wait, "own_part", false});
     return;
   }
   parked_.push_back(std::move(ask));
--- a/src/gateway/allowance_client.h
+++ b/src/gateway/allowance_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,23 @@
 /// The outcome of asking for tokens.
 struct allowance_answer {
   bool granted = false;
-  duration waited{};   ///< for the tokens
-  duration wait{};     ///< when refused: until the caller may come back
-  const char* source;  ///< who decided: surplus, leader or own_part
+  duration waited{};      ///< for the tokens
+  duration wait{};        ///< when refused: until the caller may come back
+  const char* source;     ///< who decided: surplus, leader or own_part
+  bool by_leader = true;  ///< the first two
 };
 
+/// Tokens that a request was granted. Immutable.
+struct allowance_grant {
+  double tokens = 0;
+  bool by_leader = false;  ///< or from its surplus, else this gateway's part
+  time_point at;
+};
+inline bool operator==(const allowance_grant& lhs, const allowance_grant& rhs) {
+  return lhs.tokens == rhs.tokens && lhs.by_leader == rhs.by_leader &&
+         lhs.at == rhs.at;
+}
+
 /// Loop's thread only. Preconditions: peers and cluster outlive it.
 class allowance_client {
  public:
@@ -31,7 +44,8 @@
   using limit_of = std::function<allowance(const std::string&)>;
 
   allowance_client(boost::asio::io_context& loop, peer_hub& peers,
-                   document_cluster& cluster, limit_of limits);
+                   document_cluster& cluster, std::uint64_t seed,
+                   limit_of limits);
   ~allowance_client();
   allowance_client(const allowance_client&) = delete;
   allowance_client& operator=(const allowance_client&) = delete;
@@ -41,7 +55,7 @@
   void take(const std::string& organisation, double tokens, duration max_wait,
             done answer);
   /// Gives back the tokens of a request that never ran.
-  void give_back(const std::string& organisation, double tokens);
+  void give_back(const std::string& organisation, const allowance_grant& of);
 
  private:
   struct pending_ask {
@@ -56,6 +70,7 @@
   fleet_tokens_reply count(const std::string& process,
                            const fleet_tokens_ask& in);
   void take_reply(const fleet_tokens_reply& in);
+  void tell_spent();
   void reply_to_queued();
   void ask_or_decide(pending_ask ask);
   void decide_alone(pending_ask ask);
@@ -65,6 +80,7 @@
 
   peer_hub& peers_;
   document_cluster& cluster_;
+  std::mt19937_64 random_;
   limit_of limits_;
   runtime_timer timer_;
   bool armed_ = false;
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -21,6 +21,10 @@
 // A leader that was silent is asked again after this; an election takes about
 // as long.
 constexpr duration silence_lifetime = milliseconds(500);
+// An organisation that has less than this share of its burst left is near its
+// limit, and stays so for about a window of the bound on its use.
+constexpr double scarce_share = 0.5;
+constexpr duration scarce_lifetime = seconds(8);
 // A request that needs more than the whole burst waits for a full bucket.
 constexpr duration max_wait = seconds(5);
 
@@ -78,6 +82,11 @@
   tokens_ = std::min(limit_.burst_tokens, tokens_ + std::max(tokens, 0.0));
 }
 
+void reserving_bucket::empty(time_point now) {
+  accrue(now);
+  tokens_ = std::min(tokens_, 0.0);
+}
+
 duration reserving_bucket::wait_for(double tokens, time_point now) {
   accrue(now);
   return span_for(tokens - tokens_);
@@ -141,6 +150,8 @@
   fleet_tokens_reply out;
   out.id = in.id;
   out.leads = true;
+  out.scarce =
+      of.waits() || of.bucket.available(now) - tokens < burst * scarce_share;
   if (first && of.bucket.take(tokens, {}, now)) {
     out.granted = true;
     if (!of.waits() && of.bucket.available(now) > burst * surplus_threshold) {
@@ -174,6 +185,7 @@
       fleet_tokens_reply reply;
       reply.id = front.id;
       reply.leads = true;
+      reply.scarce = true;
       if (of.bucket.take(front.tokens, {}, now)) {
         reply.granted = true;
       } else if (now >= front.until) {
@@ -204,11 +216,20 @@
 void fleet_allowance_home::refund(const fleet_tokens_refund& in,
                                   time_point now) {
   const auto found = accounts_.find(in.organisation);
-  if (found != accounts_.end()) {
+  if (found != accounts_.end() &&
+      now - from_microseconds(in.age_us) >= leads_since_) {
     found->second.bucket.put_back(in.tokens, now);
   }
 }
 
+void fleet_allowance_home::charge(const fleet_tokens_spent& in,
+                                  const allowance& limit, time_point now) {
+  if (now - from_microseconds(in.age_us) >= leads_since_) {
+    account_of(in.organisation, limit, now)
+        .bucket.take(in.tokens, duration::max(), now);
+  }
+}
+
 bool fleet_allowance_share::take_surplus(const std::string& organisation,
                                          double tokens, time_point now) {
   const auto found = surplus_.find(organisation);
@@ -234,32 +255,79 @@
   asks_again_at_ = now + silence_lifetime;
 }
 
+// What accrued until the leader's last word was the leader's to give.
+void fleet_allowance_share::leader_answered(const std::string& organisation,
+                                            const fleet_tokens_reply& reply,
+                                            time_point now) {
+  asks_again_at_ = time_point{};
+  if (!reply.leads) {
+    return;
+  }
+  if (!reply.scarce) {
+    scarce_.erase(organisation);
+    return;
+  }
+  scarce_[organisation] = now;
+  const auto part = own_part_.find(organisation);
+  if (part != own_part_.end()) {
+    part->second.empty(now);
+  }
+}
+
+bool fleet_allowance_share::is_scarce(const std::string& organisation,
+                                      time_point now) const {
+  const auto found = scarce_.find(organisation);
+  return found != scarce_.end() && now - found->second < scarce_lifetime;
+}
+
+std::vector<fleet_tokens_spent> fleet_allowance_share::take_spent(
+    time_point now) {
+  std::vector<fleet_tokens_spent> out;
+  for (const auto& [organisation, each] : std::exchange(spent_, {})) {
+    out.push_back({organisation, each.tokens, to_microseconds(now - each.at)});
+  }
+  return out;
+}
+
 duration fleet_allowance_share::take_own_part(const std::string& organisation,
                                               const allowance& limit,
                                               double tokens,
                                               std::size_t processes,
-                                              time_point now) {
+                                              double draw, time_point now) {
   const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
   const allowance part =
       to_allowance(limit.tokens_per_second / parts, limit.burst_tokens / parts);
+  const bool scarce = is_scarce(organisation, now);
   auto found = own_part_.find(organisation);
   if (found == own_part_.end()) {
-    found = own_part_
-                .emplace(organisation,
-                         reserving_bucket(part, part.burst_tokens, now))
-                .first;
+    const reserving_bucket made =
+        scarce ? reserving_bucket(part, 0, scarce_.at(organisation))
+               : reserving_bucket(part, part.burst_tokens, now);
+    found = own_part_.emplace(organisation, made).first;
   }
   reserving_bucket& bucket = found->second;
   if (!(bucket.limit() == part)) {
     bucket.set_limit(part, now);
   }
-  // A request may be larger than a part's burst: it needs all of that, and what
-  // it takes beyond has to accrue before the next one.
+  // A request may be larger than a part's burst. Where tokens are scarce, it
+  // gets those of the fleet with the share of them that it stakes here. Else it
+  // needs all of the part, and what it takes beyond has to accrue before the
+  // next one.
   const double needed = std::min(tokens, part.burst_tokens);
-  if (bucket.available(now) < needed) {
+  const double here = bucket.available(now);
+  if (scarce && here < tokens) {
+    bucket.empty(now);
+    if (draw * tokens >= here) {
+      return bucket.wait_for(needed, now);
+    }
+  } else if (here < needed) {
     return bucket.wait_for(needed, now);
+  } else {
+    bucket.take(tokens, duration::max(), now);
   }
-  bucket.take(tokens, duration::max(), now);
+  spending& spent = spent_[organisation];
+  spent.tokens += tokens;
+  spent.at = now;
   return {};
 }
 
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -35,6 +35,8 @@
   std::optional<duration> take(double tokens, duration max_wait,
                                time_point now);
   void put_back(double tokens, time_point now);
+  /// Gives up what has accrued.
+  void empty(time_point now);
   /// Returns the span until so many tokens have accrued.
   duration wait_for(double tokens, time_point now);
   double available(time_point now);
@@ -75,7 +77,12 @@
   /// of the burst is there, a gateway gets a surplus for requests to come.
   fleet_tokens_reply ask(const std::string& process, const fleet_tokens_ask& in,
                          const allowance& limit, time_point now);
+  /// Takes back what this leader granted, and nothing that another one did.
   void refund(const fleet_tokens_refund& in, time_point now);
+  /// Counts what a gateway granted by itself since this process began to lead;
+  /// the organisation may be in debt then.
+  void charge(const fleet_tokens_spent& in, const allowance& limit,
+              time_point now);
 
   /// Returns the replies to queued requests that are due.
   std::vector<fleet_tokens_decision> decide(time_point now);
@@ -115,7 +122,11 @@
   time_point leads_since_{};
 };
 
-/// One gateway's view. No I/O, no clock of its own. One thread.
+/// One gateway's view. Load it answers: organisations far over their limits
+/// while the leader is silent, frozen or replaced. What gateways grant by
+/// themselves adds up to what accrues meanwhile for an organisation that was
+/// near its limit at the leader's last word; others, which can't be, get a part
+/// of the burst as well. No I/O, no clock of its own. One thread.
 class fleet_allowance_share {
  public:
   /// Takes tokens from the surplus at hand.
@@ -123,26 +134,39 @@
                     time_point now);
   void add_surplus(const std::string& organisation, double tokens,
                    time_point now);
-  /// The leader did not answer in time, or answered.
+  /// The leader did not answer in time, or answered for an organisation.
   void leader_silent(time_point now);
-  void leader_answered() { asks_again_at_ = time_point{}; }
+  void leader_answered(const std::string& organisation,
+                       const fleet_tokens_reply& reply, time_point now);
   /// Returns whether the leader is worth asking: after a silence, requests
   /// would each wait for nothing.
   bool asks_leader(time_point now) const { return now >= asks_again_at_; }
   /// Takes tokens of this gateway's own part of the allowance, for when the
-  /// leader can't be asked. Returns the wait until they are there, zero when
-  /// they were taken.
+  /// leader can't be asked. A scarce part of a request's tokens decides by
+  /// `draw`, from [0, 1): so many of the fleet's requests are granted as the
+  /// parts add up to. Returns the wait until they are there, zero when they
+  /// were taken.
   duration take_own_part(const std::string& organisation,
                          const allowance& limit, double tokens,
-                         std::size_t processes, time_point now);
+                         std::size_t processes, double draw, time_point now);
+  /// Returns what was granted so since the last call, for the leader.
+  std::vector<fleet_tokens_spent> take_spent(time_point now);
 
  private:
   struct surplus {
     double tokens = 0;
     time_point until{};
   };
+  struct spending {
+    double tokens = 0;
+    time_point at;  // the last
+  };
+  bool is_scarce(const std::string& organisation, time_point now) const;
+
   std::map<std::string, surplus> surplus_;            // by organisation
   std::map<std::string, reserving_bucket> own_part_;  // by organisation
+  std::map<std::string, time_point> scarce_;  // last word of the leader so
+  std::map<std::string, spending> spent_;     // by organisation
   time_point asks_again_at_{};
 };
 
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -67,10 +67,7 @@
 
 void give_back_allowance(const forward_environment& environment,
                          const admitted_request& request) {
-  if (request.allowance_tokens > 0) {
-    environment.give_back(request.resolved.organisation(),
-                          request.allowance_tokens);
-  }
+  environment.give_back(request.resolved.organisation(), request.granted);
 }
 
 void answer_refused(forward_environment& environment, admitted_request& request,
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/allowance_client.h"
 #include "gateway/attempt_policy.h"
 #include "gateway/codec.h"
 #include "gateway/health_share.h"
@@ -63,7 +64,9 @@
   std::function<std::size_t()> processes;  ///< of the fleet
   std::function<duration()> document_age;  ///< since it was last confirmed
   /// Adds tokens to what an organisation may use.
-  std::function<void(const std::string& organisation, double tokens)> give_back;
+  std::function<void(const std::string& organisation,
+                     const allowance_grant& of)>
+      give_back;
 };
 
 /// A request that passed the filters.
@@ -71,7 +74,7 @@
   caller_request caller;
   std::unique_ptr<http_exchange> exchange;
   resolution resolved;
-  double allowance_tokens = 0;  ///< that were granted to its organisation
+  allowance_grant granted;  ///< to its organisation
   time_point received;
   time_point deadline;  ///< of the caller and the route, the earlier one
   std::string trail;    ///< decisions so far
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -65,7 +65,7 @@
                 std::uniform_real_distribution<double>(0, 1)(random_)),
         cluster_(process,
                  [this](const published_document& in) { take_document(in); }),
-        allowances_(process.loop, process.peers, cluster_,
+        allowances_(process.loop, process.peers, cluster_, process.incarnation,
                     [this](const std::string& name) { return limit_of(name); }),
         directory_(process, cluster_, codec_, pool_,
                    make_directory_options(process.options.gateway)),
@@ -74,23 +74,24 @@
         stages_(process, cluster_, codec_, pool_, servers_, placement_,
                 [this] { return engine_profiles(); }),
         table_(std::make_shared<const routing_table>(gateway_configuration{})),
-        environment_{process.loop,
-                     codec_,
-                     pool_,
-                     servers_,
-                     budget_,
-                     process.metrics,
-                     placement_,
-                     health_,
-                     memory_queues_,
-                     random_,
-                     responses_,
-                     process.options.failure_domain,
-                     [this] { return cluster_.follower().processes(); },
-                     [this] { return document_age(); },
-                     [this](const std::string& organisation, double tokens) {
-                       allowances_.give_back(organisation, tokens);
-                     }},
+        environment_{
+            process.loop,
+            codec_,
+            pool_,
+            servers_,
+            budget_,
+            process.metrics,
+            placement_,
+            health_,
+            memory_queues_,
+            random_,
+            responses_,
+            process.options.failure_domain,
+            [this] { return cluster_.follower().processes(); },
+            [this] { return document_age(); },
+            [this](const std::string& organisation, const allowance_grant& of) {
+              allowances_.give_back(organisation, of);
+            }},
         room_(
             process.loop, {},
             [this] { return knows_enough(runtime_clock::now()); },
@@ -375,7 +376,9 @@
     end_if_idle();
     return;
   }
-  held->allowance_tokens = tokens;
+  process_.metrics.add("citronwharf_gateway_allowance_tokens_total",
+                       {{"source", answer.source}}, tokens);
+  held->granted = {tokens, answer.by_leader, runtime_clock::now()};
   if (held->resolved.is_of(table_) &&
       cluster_.follower().fresh(runtime_clock::now())) {
     take(std::move(*held));
@@ -399,7 +402,7 @@
     return;
   }
   give_back_allowance(environment_, *held);
-  held->allowance_tokens = 0;
+  held->granted = {};
   filter(std::move(*held));
   end_if_idle();
 }
--- a/src/wire/document_messages.h
+++ b/src/wire/document_messages.h
@@ -90,13 +90,24 @@
 };
 CITRONWHARF_VALUE(fleet_tokens_ask, id, organisation, tokens, max_wait_us)
 
-/// A gateway gives back what a request was granted that never ran.
+/// A gateway gives back what the leader granted a request that never ran.
 struct fleet_tokens_refund {
   static constexpr const char* type_name = "fleet_tokens_refund";
   std::string organisation;
   double tokens = 0;
+  std::int64_t age_us = 0;  ///< since the grant
 };
-CITRONWHARF_VALUE(fleet_tokens_refund, organisation, tokens)
+CITRONWHARF_VALUE(fleet_tokens_refund, organisation, tokens, age_us)
+
+/// A gateway tells the leader what it granted by itself while the leader was
+/// out of its reach.
+struct fleet_tokens_spent {
+  static constexpr const char* type_name = "fleet_tokens_spent";
+  std::string organisation;
+  double tokens = 0;
+  std::int64_t age_us = 0;  ///< since the last of these grants
+};
+CITRONWHARF_VALUE(fleet_tokens_spent, organisation, tokens, age_us)
 
 struct fleet_tokens_reply {
   static constexpr const char* type_name = "fleet_tokens_reply";
@@ -104,11 +115,12 @@
   bool granted = false;
   bool queued = false;        ///< a further reply follows within wait_us
   bool leads = false;         ///< false: ask the leader instead
+  bool scarce = false;        ///< the organisation is near its limit
   double surplus_tokens = 0;  ///< granted beside what was asked for
   /// When queued: until the grant. When refused: until a caller may return.
   std::int64_t wait_us = 0;
 };
-CITRONWHARF_VALUE(fleet_tokens_reply, id, granted, queued, leads,
+CITRONWHARF_VALUE(fleet_tokens_reply, id, granted, queued, leads, scarce,
                   surplus_tokens, wait_us)
 
 /// The leader tells gateways that an engine is about to switch its stage and
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -390,8 +390,8 @@
   for (int process = 0; process < 8; ++process) {
     fleet_allowance_share share;
     for (int asked = 0; asked < 100; ++asked) {
-      const bool taken =
-          share.take_own_part("importers", limit, 100, 8, start) == duration{};
+      const bool taken = share.take_own_part("importers", limit, 100, 8, 0.5,
+                                             start) == duration{};
       given += taken ? 100 : 0;
     }
   }
@@ -411,7 +411,7 @@
     fleet_allowance_share share;
     for (int step = 0; step < span_s * 10; ++step) {
       const duration wait =
-          share.take_own_part("importers", limit, prompt, processes,
+          share.take_own_part("importers", limit, prompt, processes, 0.5,
                               start + milliseconds(100) * step);
       given += wait == duration{} ? prompt : 0;
     }
@@ -429,7 +429,7 @@
   BOOST_TEST(!share.asks_leader(start + milliseconds(400)));
   BOOST_TEST(share.asks_leader(start + milliseconds(600)));
   share.leader_silent(start);
-  share.leader_answered();
+  share.leader_answered("importers", {}, start);
   BOOST_TEST(share.asks_leader(start));
 }
 
