--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -34,6 +35,8 @@
 constexpr std::chrono::milliseconds spare_span(1000);
 constexpr std::chrono::milliseconds spare_grace(500);
 constexpr int max_sends_while_spared = 2;
+constexpr const char* withdrawn_id = "withdrawn";
+constexpr std::size_t max_withdrawn_calls = 200;
 
 using steady = std::chrono::steady_clock;
 
@@ -80,6 +83,9 @@
         for (int sent = 0; sent < 4; ++sent) {
           send(sent % 2 == 0 ? "/c/" : "/l/");
         }
+        for (int sent = 0; sent < 4; ++sent) {
+          send_with_withdrawn_key();
+        }
         loop_.restart();
         loop_.run_for(std::chrono::milliseconds(20));
       }
@@ -162,6 +168,9 @@
 
   // One machine is disturbed at a time, so that a majority stays.
   void disturb() {
+    for (auto& [at, child] : children_) {
+      BOOST_TEST(child->running(), name(at) << " ended by itself");
+    }
     if (paused_) {
       children_[*paused_]->send_signal(SIGCONT);
       paused_.reset();
@@ -248,6 +257,12 @@
 
   void serve(desk& at, const http_request& request,
              std::unique_ptr<http_exchange> exchange) {
+    if (id_of(request) == withdrawn_id) {
+      exchange->respond(reply(200, "done",
+                              {{"Citronwharf-Server-Stamp", "s"},
+                               {"Citronwharf-Request-Id", withdrawn_id}}));
+      return;
+    }
     sent_request& of = requests_[id_of(request)];
     if (find_header(request.headers, "Citronwharf-Expect-Instance") != at.id) {
       exchange->respond(reply(421, "", {{"Citronwharf-Not-Run", "1"}}));
@@ -282,6 +297,41 @@
     exchange->respond(reply(200, id_of(request), std::move(headers)));
   }
 
+  // Every other version withdraws the key of the second organisation, whose
+  // requests wait for their allowance.
+  static json tenants(int version) {
+    json out{{{"name", "t1"}, {"apiKeys", {"k1"}}}};
+    if (version % 2 == 0) {
+      out.push_back({{"name", "t2"},
+                     {"apiKeys", {"k2"}},
+                     {"unit", "tokens"},
+                     {"plainTokens", 200},
+                     {"ratePerS", 20000},
+                     {"burst", 400}});
+    }
+    return out;
+  }
+
+  // Whatever the answer: the process has to live.
+  void send_with_withdrawn_key() {
+    http_call_options options{address(draw(gateways), callers_)};
+    options.connect_timeout = milliseconds(300);
+    options.idle_timeout = milliseconds(1200);
+    withdrawn_.push_back(fetch(loop_, options,
+                               {"POST",
+                                "/c/1",
+                                {{"Host", "a.example"},
+                                 {"Authorization", "Token k2"},
+                                 {"Citronwharf-Request-Id", withdrawn_id},
+                                 {"Citronwharf-Deadline-Ms", "1500"}},
+                                "body",
+                                ""},
+                               [](const auto& /*response*/, bool) {}));
+    if (withdrawn_.size() > max_withdrawn_calls) {
+      withdrawn_.pop_front();
+    }
+  }
+
   void publish() {
     if (publishing_ && !published_) {
       return;
@@ -297,7 +347,7 @@
     const json state{{"version", version},
                      {"routes", {route("/c/", "unsafe"), route("/l/", "safe")}},
                      {"services", {{{"name", "desk"}}}},
-                     {"tenants", {{{"name", "t1"}, {"apiKeys", {"k1"}}}}}};
+                     {"tenants", tenants(version)}};
     http_call_options options{address(draw(gateways), operators_)};
     options.connect_timeout = milliseconds(300);
     options.idle_timeout = milliseconds(1200);
@@ -417,6 +467,7 @@
   int acknowledged_ = 0;
   bool published_ = true;
   std::unique_ptr<http_call> publishing_;
+  std::deque<std::unique_ptr<http_call>> withdrawn_;
   int last_id_ = 0;
   std::map<std::string, sent_request> requests_;
 };
