--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -63,7 +63,7 @@
   std::string failure_domain;              ///< of this process
   std::function<std::size_t()> processes;  ///< of the fleet
   std::function<duration()> document_age;  ///< since it was last confirmed
-  /// Adds tokens to what an organisation may use.
+  /// Gives back what an organisation was granted.
   std::function<void(const std::string& organisation,
                      const allowance_grant& of)>
       give_back;
