--- a/test/clock-test.cc
+++ b/test/clock-test.cc
@@ -3,6 +3,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <utility>
 
 using citronwharf::runtime_clock;
 using citronwharf::runtime_timer;
@@ -32,3 +34,47 @@
   BOOST_TEST(expired);
   runtime_clock::resume();
 }
+
+BOOST_AUTO_TEST_CASE(cancelled_timer_whose_expiry_is_queued_is_aborted) {
+  boost::asio::io_context loop;
+  runtime_timer first(loop);
+  runtime_timer second(loop);
+  int expired = 0;
+  for (auto [timer, other] : {std::pair(&first, &second), {&second, &first}}) {
+    timer->expires_after(runtime_clock::duration(0));
+    timer->async_wait([&, other = other](boost::system::error_code error) {
+      expired += error ? 0 : 1;
+      other->cancel();
+    });
+  }
+  loop.run();
+  BOOST_TEST(expired == 1);
+}
+
+BOOST_AUTO_TEST_CASE(timer_that_is_set_again_does_not_expire_for_its_old_time) {
+  boost::asio::io_context loop;
+  runtime_timer first(loop);
+  runtime_timer second(loop);
+  bool expired = false;
+  first.expires_after(runtime_clock::duration(0));
+  first.async_wait(
+      [&](boost::system::error_code) { second.expires_after(seconds(3600)); });
+  second.expires_after(runtime_clock::duration(0));
+  second.async_wait([&](boost::system::error_code error) { expired = !error; });
+  loop.run();
+  BOOST_TEST(!expired);
+}
+
+BOOST_AUTO_TEST_CASE(destroyed_timer_whose_expiry_is_queued_is_aborted) {
+  boost::asio::io_context loop;
+  runtime_timer first(loop);
+  auto second = std::make_unique<runtime_timer>(loop);
+  bool expired = false;
+  first.expires_after(runtime_clock::duration(0));
+  first.async_wait([&](boost::system::error_code) { second.reset(); });
+  second->expires_after(runtime_clock::duration(0));
+  second->async_wait(
+      [&](boost::system::error_code error) { expired = !error; });
+  loop.run();
+  BOOST_TEST(!expired);
+}
--- a/test/gateway-servers-test.cc
+++ b/test/gateway-servers-test.cc
@@ -2,14 +2,12 @@
 // twice, stall or are slow.
 #include <fmt/format.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
 
 #include "gateway_fixture.h"
+#include "raw_server.h"
 
 using namespace citronwharf;        // NOLINT(google-build-using-namespace)
 using namespace citronwharf::test;  // NOLINT(google-build-using-namespace)
@@ -50,57 +48,6 @@
   return reply(200, "done", std::move(extra));
 }
 
-// Answers each request on its connections with raw bytes.
-class raw_server {
- public:
-  using answer = std::function<std::string(const std::string& request)>;
-
-  raw_server(boost::asio::io_context& loop, answer answers)
-      : acceptor_(loop, {boost::asio::ip::tcp::v4(), 0}),
-        answers_(std::move(answers)) {
-    accept();
-  }
-  std::string address() const {
-    return fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port());
-  }
-
- private:
-  using socket = boost::asio::ip::tcp::socket;
-
-  void accept() {
-    auto accepted_socket = std::make_shared<socket>(acceptor_.get_executor());
-    acceptor_.async_accept(*accepted_socket,
-                           [this, accepted_socket](auto error) {
-                             if (!error) {
-                               serve(accepted_socket);
-                               accept();
-                             }
-                           });
-  }
-  void serve(const std::shared_ptr<socket>& at) {
-    auto text = std::make_shared<std::string>();
-    boost::asio::async_read_until(
-        *at, boost::asio::dynamic_buffer(*text), "\r\n\r\n",
-        [this, at, text](auto error, std::size_t) {
-          if (error) {
-            return;
-          }
-          boost::system::error_code ignored;
-          boost::asio::write(*at, boost::asio::buffer(answers_(*text)),
-                             ignored);
-          serve(at);
-        });
-  }
-
-  boost::asio::ip::tcp::acceptor acceptor_;
-  answer answers_;
-};
-
-std::string raw_reply(const std::string& headers, const std::string& body) {
-  return fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}",
-                     headers, body.size(), body);
-}
-
 }  // namespace
 
 BOOST_FIXTURE_TEST_CASE(leaving_server_gets_no_further_requests,
@@ -295,8 +242,8 @@
                         server_fixture) {
   std::string last_id;
   int hold_count = 0;
-  raw_server engine(loop, [&](const std::string& request) -> std::string {
-    const auto id_at = request.find("Citronwharf-Request-Id: ");
+  raw_server engine(loop, [&](const std::string& request,
+                              const std::shared_ptr<raw_connection>& caller) {
     const std::string stale_response =
         last_id.empty() ? ""
                         : raw_reply(
@@ -304,20 +251,21 @@
                               "Citronwharf-Request-Id: " +
                                   last_id + "\r\n",
                               event(1));
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
     if (request.find("hold-take") != std::string::npos) {
-      return stale_response +
-             raw_reply("", fmt::format(R"({{"hold":"m{}"}})", ++hold_count));
-    }
-    if (id_at == std::string::npos) {
-      return stale_response + raw_reply("", "{}");
+      caller->write(
+          stale_response +
+          raw_reply("", fmt::format(R"({{"hold":"m{}"}})", ++hold_count)));
+    } else if (id.empty()) {
+      caller->write(stale_response + raw_reply("", "{}"));
+    } else {
+      last_id = id;
+      caller->write(stale_response +
+                    raw_reply(fmt::format("Citronwharf-Server-Stamp: s\r\n"
+                                          "Citronwharf-Request-Id: {}\r\n",
+                                          last_id),
+                              event(1) + event(2)));
     }
-    const auto from = id_at + std::string("Citronwharf-Request-Id: ").size();
-    last_id = request.substr(from, request.find('\r', from) - from);
-    return stale_response +
-           raw_reply(fmt::format("Citronwharf-Server-Stamp: s\r\n"
-                                 "Citronwharf-Request-Id: {}\r\n",
-                                 last_id),
-                     event(1) + event(2));
   });
   instances = json::array();
   for (const std::string stage : {"prefill", "decode"}) {
