Timers: a cancelled timer never expires

Cause: Asio's cancel() does not recall a handler that is already queued. A gateway that is behind finds the answer to a hold and the expiry of its timeout in the same turn of the event loop. It takes the answer, sends the stream, and then runs the expiry, which looks for other engines and drops what runs. The same holds for a timer that is set again, and for one that is destroyed while its handler has no guard of its own.

Ruled out by the trails of the record: an engine of an earlier grant (no 'prefill_lost' before a decode at a tried engine), and a foreign refusal (no 'answer(503,not_run=true)' before the second send).

runtime_timer is now a class whose waits belong to a generation; cancel(), expires_after(), expires_at() and the destructor end it. All timers of the product use it, also those of the HTTP server and client, which closed a connection at its idle timeout while a request was being read, and those of elections.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -2,7 +2,10 @@
 #ifndef CITRONWHARF_BASE_CLOCK_H_
 #define CITRONWHARF_BASE_CLOCK_H_
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -46,10 +49,67 @@
   static duration to_wait_duration(const time_point& until);
 };
 
-/// A timer based on runtime_clock. Not thread-safe.
-/// Example: timer.expires_after(std::chrono::seconds(2));
-using runtime_timer =
-    boost::asio::basic_waitable_timer<runtime_clock, runtime_wait_traits>;
+/// A timer based on runtime_clock. Once it has been cancelled, set again or
+/// destroyed it does not expire, even if its expiry was queued in the event
+/// loop before. Asio's own timers then still report success, so that an answer
+/// and its timeout could both be acted on. Not thread-safe. Example:
+/// timer.expires_after(std::chrono::seconds(2));
+class runtime_timer {
+ public:
+  explicit runtime_timer(const boost::asio::any_io_executor& executor)
+      : timer_(executor) {}
+  explicit runtime_timer(boost::asio::io_context& loop)
+      : runtime_timer(loop.get_executor()) {}
+  ~runtime_timer() { abort_waits(); }
+  runtime_timer(runtime_timer&&) = default;
+  runtime_timer& operator=(runtime_timer&&) = delete;
+  runtime_timer(const runtime_timer&) = delete;
+  runtime_timer& operator=(const runtime_timer&) = delete;
+
+  /// Set the time of expiry. Waits that have not been handled are aborted.
+  void expires_after(duration span) {
+    abort_waits();
+    timer_.expires_after(span);
+  }
+  void expires_at(time_point until) {
+    abort_waits();
+    timer_.expires_at(until);
+  }
+  time_point expiry() const { return timer_.expiry(); }
+  /// Aborts all waits that have not been handled.
+  void cancel() {
+    abort_waits();
+    boost::system::error_code ignored;
+    timer_.cancel(ignored);
+  }
+
+  /// Calls `handler` with no error when the timer expires, with
+  /// operation_aborted if the wait is aborted. Never calls it from within this
+  /// function.
+  template <typename Handler>
+  void async_wait(Handler handler) {
+    timer_.async_wait([started_in = *generation_, generation = generation_,
+                       handler = std::move(handler)](
+                          boost::system::error_code error) mutable {
+      if (*generation != started_in) {
+        error = boost::asio::error::operation_aborted;
+      }
+      handler(error);
+    });
+  }
+
+ private:
+  void abort_waits() {
+    if (generation_ != nullptr) {  // else moved from
+      ++*generation_;
+    }
+  }
+
+  boost::asio::basic_waitable_timer<runtime_clock, runtime_wait_traits> timer_;
+  // Incremented when waits are aborted. Outlives the timer in its handlers.
+  std::shared_ptr<std::uint64_t> generation_ =
+      std::make_shared<std::uint64_t>(0);
+};
 
 /// Calls `handler` when the timer expires, unless the timer is cancelled or
 /// `*alive` is false at that time.
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -67,8 +67,7 @@
 }
 
 void engine_search::cancel() {
-  boost::system::error_code ignored;
-  timer_.cancel(ignored);
+  timer_.cancel();
   hold_call_.reset();
   leave_queue(false);
   release_hold();
@@ -230,8 +229,7 @@
 
 void engine_search::handle_hold_response(
     absl::StatusOr<http_response> response) {
-  boost::system::error_code ignored;
-  timer_.cancel(ignored);
+  timer_.cancel();
   const std::string& id = hold_server_.id;
   if (!response.ok()) {
     hooks_.add_to_trail(fmt::format("hold_lost({},{})", id,
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -327,8 +327,7 @@
     return;
   }
   finished_ = true;
-  boost::system::error_code ignored;
-  deadline_timer_.cancel(ignored);
+  deadline_timer_.cancel();
   log_request(context_, request_, status, reason, attempts_, last_server_,
               good);
   request_.exchange.reset();
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -39,8 +39,7 @@
 
   void stop() override {
     end_call(server_result::abandoned);
-    boost::system::error_code ignored;
-    silence_timer_.cancel(ignored);
+    silence_timer_.cancel();
   }
 
   void start_attempt() {
@@ -173,8 +172,7 @@
   }
 
   void finish_attempt(server_result result) {
-    boost::system::error_code ignored;
-    silence_timer_.cancel(ignored);
+    silence_timer_.cancel();
     end_call(result);
     may_be_running_ = false;
     if (report_.sent && !report_.not_run) {
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -350,10 +350,7 @@
     });
   }
 
-  void stop_silence_timer() {
-    boost::system::error_code ignored;
-    silence_timer_.cancel(ignored);
-  }
+  void stop_silence_timer() { silence_timer_.cancel(); }
 
   void on_head(const http_response& head) {
     head_ = head;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,7 +1,6 @@
 #include "net/http_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -199,7 +198,7 @@
   http_call_options options_;
   http_call_handlers handlers_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  runtime_timer timer_;
   http::request<http::string_body> message_;
   beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -4,7 +4,6 @@
 #include <fmt/ostream.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -181,7 +180,7 @@
   std::weak_ptr<http_server::impl> server_;
   http_server_options options_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  runtime_timer timer_;
   std::string remote_;
   beast::flat_buffer buffer_;
   std::optional<request_parser> parser_;
