Forwarding: one gate for sends, closed while a request may be running

What may run once was only kept from a second send by the decision after an attempt. A second result of the engine search, or a timeout that fires late, went past it: start_decode() replaced the running call and sent the request again; and a refusal of that second search said 'not run' of a request whose first send was dropped.

Every send to a server that may run the request now goes through begin_attempt(), which plain requests and streams share. It refuses, logs second_attempt_prevented (7017) and counts citronwharf_gateway_second_attempts_prevented_total where the request may run once and an attempt has not ended or may have run. A request that may be running is no longer refused as 'not run'. The search for engines ends its hold call with the answer, and a stream's timer never outlives the phase that set it.

Evidence: the two cases of gateway-decisions-test (no such function before, and refuse_not_run for a running request).

--- a/src/gateway/attempt_policy.cc
+++ b/src/gateway/attempt_policy.cc
@@ -23,13 +23,19 @@
 
 }  // namespace
 
+bool may_start_attempt(const request_progress& progress) {
+  return progress.repeat != repeatability::at_most_once ||
+         (!progress.may_be_running && progress.possible_executions == 0);
+}
+
 attempt_decision decide_without_retry(const attempt_report& report,
                                       const request_progress& progress) {
   if (report.answered && !report.not_run) {
     return attempt_decision::deliver;
   }
-  return progress.possible_executions == 0 ? attempt_decision::refuse_not_run
-                                           : attempt_decision::fail_unknown;
+  return progress.possible_executions == 0 && !progress.may_be_running
+             ? attempt_decision::refuse_not_run
+             : attempt_decision::fail_unknown;
 }
 
 attempt_decision decide_after_attempt(const attempt_report& report,
--- a/src/gateway/attempt_policy.h
+++ b/src/gateway/attempt_policy.h
@@ -23,6 +23,7 @@
   std::int64_t max_servers = 1;          ///< number that may run it
   std::int64_t possible_executions = 0;  ///< servers that may have run it
   std::int64_t attempts = 0;             ///< so far
+  bool may_be_running = false;           ///< at a server, at this moment
   duration time_left{};
 };
 
@@ -40,6 +41,11 @@
 /// Minimum remaining time for a retry to be useful.
 constexpr duration min_retry_time = milliseconds(60);
 
+/// Returns whether the request may be sent to a server that may run it. A
+/// request that may run once is not sent while an earlier attempt may be
+/// running or may have run. Thread-safe.
+bool may_start_attempt(const request_progress& progress);
+
 /// Returns how to continue after an attempt. A request is only repeated if the
 /// attempt certainly ran nothing or the request may run again. Thread-safe.
 attempt_decision decide_after_attempt(const attempt_report& report,
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -222,7 +222,6 @@
         handle_hold_response(std::move(response));
       });
   start_timer(hold_timeout, [this] {
-    hold_call_.reset();
     handle_hold_response(absl::DeadlineExceededError("no answer in time"));
   });
 }
@@ -230,6 +229,7 @@
 void engine_search::handle_hold_response(
     absl::StatusOr<http_response> response) {
   timer_.cancel();
+  hold_call_.reset();
   const std::string& id = hold_server_.id;
   if (!response.ok()) {
     hooks_.add_to_trail(fmt::format("hold_lost({},{})", id,
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -189,6 +189,29 @@
   return out;
 }
 
+bool request_forwarder::begin_attempt(const std::string& server) {
+  if (!may_start_attempt(progress())) {
+    add_to_trail(fmt::format("second_attempt_prevented({})", server));
+    log_event(events::second_attempt_prevented, request_.caller.id,
+              last_server_, server);
+    context_.metrics.add("citronwharf_gateway_second_attempts_prevented_total",
+                         {{"service", service().name}});
+    return false;
+  }
+  ++attempts_;
+  may_be_running_ = true;
+  last_server_ = server;
+  tried_servers_.insert(server);
+  return true;
+}
+
+void request_forwarder::end_attempt(const attempt_report& report) {
+  may_be_running_ = false;
+  if (report.sent && !report.not_run) {
+    ++possible_executions_;
+  }
+}
+
 server_result request_forwarder::record_response(const server_answer& answer,
                                                  attempt_report& report) {
   add_to_trail(
@@ -264,6 +287,7 @@
   out.max_servers = route().max_servers;
   out.possible_executions = possible_executions_;
   out.attempts = attempts_;
+  out.may_be_running = may_be_running_;
   out.time_left = time_left();
   return out;
 }
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -140,6 +140,12 @@
   milliseconds server_deadline() const;
   /// Returns the parameters of the call that sends the request to a server.
   pooled_call call_for_request(const std::string& address) const;
+  /// Registers that the request is about to be sent to a server that may run
+  /// it. Returns false, logs it and registers nothing if the request may run
+  /// once and may be running or may have run; then it must not be sent.
+  bool begin_attempt(const std::string& server);
+  /// Registers the end of the attempt.
+  void end_attempt(const attempt_report& report);
   /// Records a complete response of the last server in the report of the
   /// attempt. Returns how the request ended at that server.
   server_result record_response(const server_answer& answer,
@@ -166,7 +172,6 @@
 
   std::int64_t attempts_ = 0;
   std::int64_t possible_executions_ = 0;  // at servers
-  bool may_be_running_ = false;           // at a server, at this moment
   std::set<std::string> tried_servers_;   // ids
   std::string last_server_;
   // Set to false on destruction. Shared with callbacks that may run later.
@@ -179,6 +184,7 @@
   forward_context& context_;
   admitted_request request_;
   runtime_timer deadline_timer_;
+  bool may_be_running_ = false;  // at a server, at this moment
   std::function<void()> on_ended_;
   bool finished_ = false;
 };
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -61,10 +61,10 @@
 
   void send_to(const chosen_server& chosen) {
     const listed_server& server = chosen.server;
-    ++attempts_;
-    may_be_running_ = true;
-    last_server_ = server.id;
-    tried_servers_.insert(server.id);
+    if (!begin_attempt(server.id)) {
+      respond_without_retry();
+      return;
+    }
     report_ = {};
     discard_response();
     add_to_trail(fmt::format("send({},{},in_flight={},load={})", server.id,
@@ -174,10 +174,7 @@
   void finish_attempt(server_result result) {
     silence_timer_.cancel();
     end_call(result);
-    may_be_running_ = false;
-    if (report_.sent && !report_.not_run) {
-      ++possible_executions_;
-    }
+    end_attempt(report_);
     attempt_decision next = decide_after_attempt(report_, progress());
     if (next == attempt_decision::retry) {
       // An attempt that reached no server adds no load, so it needs no retry
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -273,10 +273,12 @@
       search_again(server);
       return;
     }
-    ++attempts_;
-    may_be_running_ = true;
-    last_server_ = server.id;
-    tried_servers_.insert(server.id);
+    if (!begin_attempt(server.id)) {
+      if (call_ == nullptr) {
+        respond_or_refuse(attempt_decision::fail_unknown);
+      }
+      return;
+    }
     report_ = {};
     head_ = {};
     error_body_.clear();
@@ -339,6 +341,7 @@
 
   // Silence only leads to another attempt if the stream may be resumed.
   void start_silence_timer(duration limit) {
+    stop_silence_timer();
     if (route().repeat == repeatability::at_most_once) {
       return;
     }
@@ -490,9 +493,8 @@
   void finish_attempt(server_result result) {
     stop_silence_timer();
     end_call(result);
-    may_be_running_ = false;
+    end_attempt(report_);
     if (report_.sent && !report_.not_run) {
-      ++possible_executions_;
       // The engine may have run the request, so it may also have fetched the KV
       // cache.
       if (!export_.handle.empty()) {
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -190,6 +190,37 @@
       (decide_after_attempt(lost, late) == attempt_decision::fail_unknown));
 }
 
+BOOST_AUTO_TEST_CASE(request_that_may_run_once_is_not_sent_while_it_may_run) {
+  struct row {
+    repeatability repeat;
+    bool may_be_running;
+    std::int64_t possible_executions;
+    bool want;
+  };
+  using kind = repeatability;
+  const row rows[] = {
+      {kind::at_most_once, false, 0, true},
+      {kind::at_most_once, true, 0, false},
+      {kind::at_most_once, false, 1, false},
+      {kind::idempotent, true, 1, true},
+      {kind::resumable_stream, true, 1, true},
+  };
+  for (const row& each : rows) {
+    request_progress progress;
+    progress.repeat = each.repeat;
+    progress.may_be_running = each.may_be_running;
+    progress.possible_executions = each.possible_executions;
+    BOOST_TEST(may_start_attempt(progress) == each.want);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(request_that_may_be_running_is_not_refused_as_not_run) {
+  request_progress progress;
+  progress.may_be_running = true;
+  BOOST_TEST(
+      (decide_without_retry({}, progress) == attempt_decision::fail_unknown));
+}
+
 BOOST_AUTO_TEST_CASE(retries_of_all_processes_stay_within_the_budget) {
   retry_budget_options options;
   options.ratio = 0.2;
