HTTP server: a slow reader is not reported from within a write

Class: a callback that ends its owner's state from within a call of that state.

The connection is now closed in a later turn of the event loop; what is written until then is dropped, and finish() can't end such a stream as complete. http-test, slow_reader_is_not_reported_from_within_a_write, fails without the change.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -189,6 +189,7 @@
   bool keep_alive_ = true;
   bool refused_ = false;          ///< the request was not read completely
   bool response_queued_ = false;  ///< the complete response is queued
+  bool overflowed_ = false;       // the client reads too slowly
   bool writing_ = false;
   bool watching_ = false;
   std::deque<std::string> queue_;
@@ -412,14 +413,23 @@
 }
 
 void connection::finish_stream() {
+  if (overflowed_) {
+    return;
+  }
   response_queued_ = true;
   queue("0\r\n\r\n");
 }
 
 void connection::queue(std::string bytes) {
+  if (overflowed_) {
+    return;
+  }
   queued_bytes_ += bytes.size();
   if (!response_queued_ && queued_bytes_ > options_.max_queued_bytes) {
-    close();
+    overflowed_ = true;
+    // The handler of on_closed() may destroy the exchange that is writing.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->close(); });
     return;
   }
   queue_.push_back(std::move(bytes));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -53,7 +53,8 @@
   /// Returns whether the client is connected and the response incomplete.
   virtual bool open() const = 0;
   /// Calls `handler` once if the connection closes before the response is
-  /// complete. Destroying the exchange discards the handler.
+  /// complete, not from within a call of this object. Destroying the exchange
+  /// discards the handler.
   virtual void on_closed(std::function<void()> handler) = 0;
 };
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -266,6 +266,33 @@
 // against a fault found in the large/trouble-1 run: a connection between its
 // response and the wait for the next request stayed open, and its next request
 // was abandoned.
+BOOST_AUTO_TEST_CASE(slow_reader_is_not_reported_from_within_a_write) {
+  boost::asio::io_context loop;
+  http_server_options options;
+  options.max_queued_bytes = 1000;
+  std::unique_ptr<http_exchange> stream;
+  bool closed = false;
+  bool closed_within_write = false;
+  http_server server(
+      loop, options,
+      [&](const http_request&, std::unique_ptr<http_exchange> exchange) {
+        stream = std::move(exchange);
+        stream->on_closed([&] { closed = true; });
+        stream->start_stream({200, {}, ""});
+        for (int part = 0; part < 5; ++part) {
+          stream->write(std::string(900, 'x'));
+          closed_within_write = closed_within_write || closed;
+        }
+        stream->finish();
+      });
+  const auto got =
+      get(loop, fmt::format("127.0.0.1:{}", server.listen().value()),
+          {"GET", "/", {}, "", ""});
+  BOOST_TEST(!got.ok());
+  BOOST_TEST(!closed_within_write);
+  BOOST_REQUIRE(run_until(loop, [&] { return closed; }));
+}
+
 BOOST_AUTO_TEST_CASE(stop_at_any_step_closes_idle_connections) {
   constexpr int max_steps = 12;
   for (int steps = 0; steps < max_steps; ++steps) {
