Streams: a stray result of the engine search ends nothing

The gate now stands before both. A call that is replaced is reported as ended, so that its server isn't counted as busy for ever.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -189,13 +189,20 @@
   return out;
 }
 
+bool request_forwarder::check_attempt(const std::string& server) {
+  if (may_start_attempt(progress())) {
+    return true;
+  }
+  add_to_trail(fmt::format("second_attempt_prevented({})", server));
+  log_event(events::second_attempt_prevented, request_.caller.id, last_server_,
+            server);
+  context_.metrics.add("citronwharf_gateway_second_attempts_prevented_total",
+                       {{"service", service().name}});
+  return false;
+}
+
 bool request_forwarder::begin_attempt(const std::string& server) {
-  if (!may_start_attempt(progress())) {
-    add_to_trail(fmt::format("second_attempt_prevented({})", server));
-    log_event(events::second_attempt_prevented, request_.caller.id,
-              last_server_, server);
-    context_.metrics.add("citronwharf_gateway_second_attempts_prevented_total",
-                         {{"service", service().name}});
+  if (!check_attempt(server)) {
     return false;
   }
   ++attempts_;
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -144,6 +144,8 @@
   /// it. Returns false, logs it and registers nothing if the request may run
   /// once and may be running or may have run; then it must not be sent.
   bool begin_attempt(const std::string& server);
+  /// The check of begin_attempt() alone.
+  bool check_attempt(const std::string& server);
   /// Registers the end of the attempt.
   void end_attempt(const attempt_report& report);
   /// Records a complete response of the last server in the report of the
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -150,6 +150,10 @@
   }
 
   void on_found(const found_engines& found) {
+    if (!check_attempt(found.decode.id)) {
+      end_prevented_attempt();
+      return;
+    }
     engines_ = found;
     if (found.prefill && export_.handle.empty()) {
       start_prefill(*found.prefill);
@@ -158,6 +162,13 @@
     }
   }
 
+  // An attempt that is under way may still answer the caller.
+  void end_prevented_attempt() {
+    if (call_ == nullptr) {
+      respond_or_refuse(attempt_decision::fail_unknown);
+    }
+  }
+
   void start_prefill(const listed_server& server) {
     if (!may_send(server)) {
       search_again(server);
@@ -274,9 +285,7 @@
       return;
     }
     if (!begin_attempt(server.id)) {
-      if (call_ == nullptr) {
-        respond_or_refuse(attempt_decision::fail_unknown);
-      }
+      end_prevented_attempt();
       return;
     }
     report_ = {};
@@ -307,6 +316,7 @@
 
   void start_call(const listed_server& server, server_call call,
                   http_call_handlers handlers) {
+    end_call(server_result::abandoned);
     pooled_call pooled = call_for_request(server.address);
     if (call.stage == generation_stage::whole) {
       pooled.max_body_bytes = std::nullopt;
