Pool: an answer without a request id ends no other request

One caller could also get the answer to the request of another.

Cause: a faulty server writes an earlier refusal, one that echoes no request id, once more on a persistent connection. The gateway took a head without an id as the answer to the request in progress. Holds, drops and the like have answers without an id and shared the connections, so a refused hold could be repeated too, and a stream ran at two engines.

An answer without an id can't be disbelieved outright: servers that shed load send it. It is certain on a connection on which every earlier answer had an id. So connections remember whether one had none, calls for a caller's request use only connections without such an answer, and other calls prefer those with one. The two kinds use separate connections by themselves. After an answer without an id to a caller's request the connection is closed: at a plain server nothing else would use it, and it would count against the server's limit. A caller who gives no id is no longer given an answer with one either.

Ruled out: a repeated answer that carries the id of its request; it is skipped (late_second_response_reaches_no_other_request).

citronwharf_gateway_unidentified_answers_total counts such answers.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -158,8 +158,10 @@
   out.connect_timeout = connect_timeout;
   // A late second response to an earlier request may arrive on the connection
   // before the response to this call.
-  out.accepts = [&codec = context.codec](const http_response& head) {
-    return codec.read_answer(head).request_id.empty();
+  out.match = [&codec = context.codec](const http_response& head) {
+    return codec.read_answer(head).request_id.empty()
+               ? response_match::unidentified
+               : response_match::other_call;
   };
   return out;
 }
@@ -181,11 +183,18 @@
   }
   // A late response to an earlier request may arrive on the connection before
   // the response to this request.
-  out.accepts = [id = request_.caller.id,
-                 &codec = context_.codec](const http_response& head) {
-    const std::string echoed_id = codec.read_answer(head).request_id;
-    return echoed_id.empty() || id.empty() || echoed_id == id;
+  out.match = [id = request_.caller.id, service = service().name,
+               &context = context_](const http_response& head) {
+    const std::string echoed_id = context.codec.read_answer(head).request_id;
+    if (!echoed_id.empty()) {
+      return echoed_id == id ? response_match::this_call
+                             : response_match::other_call;
+    }
+    context.metrics.add("citronwharf_gateway_unidentified_answers_total",
+                        {{"service", service}});
+    return response_match::unidentified;
   };
+  out.needs_identified_connection = true;
   return out;
 }
 
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -108,6 +108,8 @@
   /// Aborts the current call, without calling its handlers, after `span`.
   void set_time_limit(duration span);
   bool reusable(time_point now, duration max_idle);
+  /// Returns whether every response so far identified its call.
+  bool identified() const { return identified_; }
   const std::string& address() const { return address_; }
   time_point idle_since() const { return idle_since_; }
 
@@ -141,6 +143,7 @@
   bool head_delivered_ = false;
   bool skipping_ = false;  // the response belongs to another call
   int skipped_ = 0;        // responses
+  bool identified_ = true;
   bool keep_alive_ = false;
   std::optional<duration> server_idle_timeout_;
   time_point idle_since_{};
@@ -156,19 +159,17 @@
   impl(asio::io_context& loop, http_pool_options options)
       : loop_(loop), options_(options) {}
 
-  std::shared_ptr<pooled_connection> acquire(const std::string& address,
-                                             duration max_idle) {
-    auto& idle = idle_[address];
-    while (!idle.empty()) {
-      auto last = idle.back();
-      idle.pop_back();
-      if (last->reusable(runtime_clock::now(), max_idle)) {
-        return last;
+  std::shared_ptr<pooled_connection> acquire(const pooled_call& call) {
+    if (!call.needs_identified_connection) {
+      if (auto connection = take_idle(call, false)) {
+        return connection;
       }
-      last->abandon();
+    }
+    if (auto connection = take_idle(call, true)) {
+      return connection;
     }
     ++opened_;
-    return std::make_shared<pooled_connection>(weak_from_this(), address,
+    return std::make_shared<pooled_connection>(weak_from_this(), call.address,
                                                loop_);
   }
 
@@ -214,6 +215,31 @@
   std::uint64_t opened() const { return opened_; }
 
  private:
+  // Takes the connection that was idle for the shortest time out of those that
+  // are identified, or out of those that are not. Returns null if none can be
+  // reused.
+  std::shared_ptr<pooled_connection> take_idle(const pooled_call& call,
+                                               bool identified) {
+    const auto found = idle_.find(call.address);
+    if (found == idle_.end()) {
+      return nullptr;
+    }
+    auto& idle = found->second;
+    for (auto next = idle.end(); next != idle.begin();) {
+      --next;
+      if ((*next)->identified() != identified) {
+        continue;
+      }
+      auto connection = *next;
+      next = idle.erase(next);
+      if (connection->reusable(runtime_clock::now(), call.max_idle)) {
+        return connection;
+      }
+      connection->abandon();
+    }
+    return nullptr;
+  }
+
   asio::io_context& loop_;
   http_pool_options options_;
   std::map<std::string, std::list<std::shared_ptr<pooled_connection>>> idle_;
@@ -385,8 +411,14 @@
       parse_keep_alive_timeout(find_header(head.headers, "Keep-Alive"));
   head_delivered_ = true;
   constexpr int first_final_status = 200;
-  skipping_ = head.status < first_final_status ||
-              (call_.accepts && !call_.accepts(head));
+  if (head.status < first_final_status) {
+    skipping_ = true;
+  } else {
+    const response_match match =
+        call_.match ? call_.match(head) : response_match::unidentified;
+    skipping_ = match == response_match::other_call;
+    identified_ = identified_ && match != response_match::unidentified;
+  }
   if (!skipping_ && handlers_.on_head) {
     handlers_.on_head(head);
   }
@@ -399,7 +431,11 @@
   busy_ = false;
   limit_timer_.cancel();
   const auto pool = pool_.lock();
-  if (keep_alive_ && request_written_ && buffer_.size() == 0 && pool) {
+  // A server that only gets calls that need an identified connection would
+  // never see the connection used again.
+  const bool useful = identified_ || !call_.needs_identified_connection;
+  if (keep_alive_ && request_written_ && buffer_.size() == 0 && useful &&
+      pool) {
     add_idle(
         std::min(pool->options().idle_limit,
                  server_idle_timeout_.value_or(pool->options().idle_limit)));
@@ -462,9 +498,9 @@
   // One of the handlers may be running, so they are destroyed in a later event
   // loop iteration.
   asio::post(socket_.get_executor(), [handlers = std::move(handlers_),
-                                      accepts = std::move(call_.accepts)] {});
+                                      match = std::move(call_.match)] {});
   handlers_ = {};
-  call_.accepts = nullptr;
+  call_.match = nullptr;
   close();
 }
 
@@ -522,7 +558,7 @@
 std::unique_ptr<http_call> http_pool::start(pooled_call call,
                                             const http_request& request,
                                             http_call_handlers handlers) {
-  auto connection = impl_->acquire(call.address, call.max_idle);
+  auto connection = impl_->acquire(call);
   auto running = std::make_shared<bool>(true);
   auto done = std::move(handlers.on_done);
   handlers.on_done = [running, done = std::move(done)] {
@@ -551,7 +587,7 @@
 }
 
 void http_pool::run_detached(pooled_call call, const http_request& request) {
-  auto connection = impl_->acquire(call.address, call.max_idle);
+  auto connection = impl_->acquire(call);
   connection->begin(std::move(call), request, {});
   connection->set_time_limit(detached_call_timeout);
 }
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -20,6 +20,13 @@
   std::size_t max_idle_per_address = 16;
 };
 
+/// What the head of a response tells about the call that it responds to.
+enum class response_match {
+  other_call,    ///< it identifies another call
+  this_call,     ///< it identifies this call
+  unidentified,  ///< it identifies no call
+};
+
 /// Options of one call over a pooled connection.
 struct pooled_call {
   std::string address;  ///< "ip:port"
@@ -29,10 +36,15 @@
   /// A longer response body fails the call. Empty means unlimited, for bodies
   /// that are forwarded as they arrive.
   std::optional<std::uint64_t> max_body_bytes = 1U << 20U;
-  /// Returns whether a response belongs to this call. Other responses are
-  /// skipped, and the next one on the connection is read. Every response is
-  /// accepted when empty.
-  std::function<bool(const http_response& head)> accepts;
+  /// Matches a response to this call. Called once per response. Responses to
+  /// other calls are skipped, and the next one on the connection is read; all
+  /// others are accepted. Every response is unidentified when empty.
+  std::function<response_match(const http_response& head)> match;
+  /// Uses only connections on which every earlier response identified its call,
+  /// so that an unidentified response can only be that to this call. After such
+  /// a response the connection is closed. Calls without this flag prefer the
+  /// other connections.
+  bool needs_identified_connection = false;
 };
 
 /// Pool of connections, by server address.
@@ -43,6 +55,10 @@
 /// connection is closed if the server sends anything while it is idle. A call
 /// fails and its connection is closed if the head, the body or the responses to
 /// other calls exceed their limits.
+///
+/// A faulty server may send a response twice. The second one is mistaken for
+/// the response to the next call on the connection if neither identifies its
+/// call; see pooled_call::needs_identified_connection.
 class http_pool {
  public:
   http_pool(boost::asio::io_context& loop, http_pool_options options);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -92,7 +92,7 @@
         {"secret", "a secret of the test, long enough for it"},
         {"data_folder", folder.path() + "/data"},
         {"port_file", folder.path() + "/ports.json"},
-        {"listen", {{"peers", "127.0.0.1:0"}}},
+        {"listen", {{"peers", "127.0.0.1:0"}, {"admin", "127.0.0.1:0"}}},
         {"control", {{"snapshot_entries", 8}, {"keep_entries", 2}}},
         {"gateway",
          {{"readiness", "127.0.0.1:0"},
@@ -112,6 +112,7 @@
     callers = fmt::format("127.0.0.1:{}", wait_for_port(ports, "callers"));
     operators = fmt::format("127.0.0.1:{}", wait_for_port(ports, "operators"));
     readiness = fmt::format("127.0.0.1:{}", wait_for_port(ports, "readiness"));
+    admin = fmt::format("127.0.0.1:{}", wait_for_port(ports, "admin"));
   }
 
   // Returns the response, or status 0 if the connection was closed.
@@ -205,6 +206,7 @@
   std::string callers;
   std::string operators;
   std::string readiness;
+  std::string admin;
   std::unique_ptr<child_process> gateway;
   int last_id = 0;
   int gap_objective_ms = 300;
--- a/test/http_pool-test.cc
+++ b/test/http_pool-test.cc
@@ -35,6 +35,8 @@
   }
   int connections = 0;
   int requests = 0;
+  /// Written before each further response on the first connection.
+  std::string repeats_on_first_connection;
 
  private:
   void accept() {
@@ -42,22 +44,23 @@
     acceptor_.async_accept(*socket, [this, socket](auto error) {
       if (!error) {
         ++connections;
-        serve(socket);
+        serve(socket, connections);
         accept();
       }
     });
   }
-  void serve(const std::shared_ptr<tcp::socket>& socket) {
+  void serve(const std::shared_ptr<tcp::socket>& socket, int connection) {
     auto text = std::make_shared<std::string>();
     boost::asio::async_read_until(
         *socket, boost::asio::dynamic_buffer(*text), "\r\n\r\n",
-        [this, socket, text](auto error, std::size_t) {
+        [this, socket, text, connection](auto error, std::size_t) {
           if (error) {
             return;
           }
           ++requests;
           const std::string scripted_response =
-              script_.empty() ? "" : script_.front();
+              (connection == 1 ? repeats_on_first_connection : "") +
+              (script_.empty() ? "" : script_.front());
           if (!script_.empty()) {
             script_.pop_front();
           }
@@ -70,7 +73,7 @@
           if (ends) {
             socket->close(ignored);
           } else {
-            serve(socket);
+            serve(socket, connection);
           }
         });
   }
@@ -79,17 +82,33 @@
   std::deque<std::string> script_;
 };
 
+// Matches responses by their X-Id.
+std::function<response_match(const http_response&)> match_id(
+    const std::string& id) {
+  return [id](const http_response& head) {
+    const std::string echoed_id = find_header(head.headers, "X-Id");
+    if (echoed_id.empty()) {
+      return response_match::unidentified;
+    }
+    return echoed_id == id ? response_match::this_call
+                           : response_match::other_call;
+  };
+}
+
 struct fixture {
   boost::asio::io_context loop;
   http_pool pool{loop, {}};
 
   // Returns the body, or "failed(sent)" or "failed(unsent)".
-  std::string call(const std::string& address,
-                   std::function<bool(const http_response&)> accepts = {}) {
+  std::string call(
+      const std::string& address,
+      std::function<response_match(const http_response&)> match = {},
+      bool needs_identified_connection = false) {
     std::string result;
     pooled_call call_options;
     call_options.address = address;
-    call_options.accepts = std::move(accepts);
+    call_options.match = std::move(match);
+    call_options.needs_identified_connection = needs_identified_connection;
     const auto running =
         pool.fetch(call_options, {"GET", "/", {}, "", ""},
                    [&](absl::StatusOr<http_response> response, bool sent) {
@@ -134,10 +153,49 @@
   const std::string other =
       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Id: 0\r\n\r\nwrong";
   scripted_server server(loop, {other + complete_response});
-  const auto belongs_to_call = [](const http_response& head) {
-    return find_header(head.headers, "X-Id") == "1";
-  };
-  BOOST_TEST(call(server.address(), belongs_to_call) == "ok");
+  BOOST_TEST(call(server.address(), match_id("1")) == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(repeated_unidentified_response_ends_no_identified_call,
+                        fixture) {
+  const std::string unidentified =
+      "HTTP/1.1 503 -\r\nContent-Length: 7\r\n\r\nrefused";
+  scripted_server server(loop, {unidentified, complete_response});
+  BOOST_TEST(call(server.address()) == "refused");
+  server.repeats_on_first_connection = unidentified;
+  BOOST_TEST(call(server.address(), match_id("1"), true) == "ok");
+  BOOST_TEST(server.connections == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(connection_is_closed_after_unidentified_response,
+                        fixture) {
+  const std::string unidentified =
+      "HTTP/1.1 503 -\r\nContent-Length: 7\r\n\r\nrefused";
+  scripted_server server(loop,
+                         {complete_response, unidentified, complete_response});
+  BOOST_TEST(call(server.address(), match_id("1"), true) == "ok");
+  // Every earlier response was identified, so this one is accepted.
+  BOOST_TEST(call(server.address(), match_id("1"), true) == "refused");
+  BOOST_TEST(server.connections == 1);
+  BOOST_TEST(call(server.address(), match_id("1"), true) == "ok");
+  BOOST_TEST(server.connections == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(calls_with_and_without_id_use_separate_connections,
+                        fixture) {
+  const std::string unidentified =
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhold";
+  std::deque<std::string> script;
+  for (int round = 0; round < 4; ++round) {
+    script.push_back(unidentified);
+    script.push_back(complete_response);
+  }
+  scripted_server server(loop, script);
+  for (int round = 0; round < 4; ++round) {
+    BOOST_TEST(call(server.address()) == "hold");
+    BOOST_TEST(call(server.address(), match_id("1"), true) == "ok");
+  }
+  BOOST_TEST(server.connections == 2);
 }
 
 BOOST_FIXTURE_TEST_CASE(truncated_or_malformed_response_fails_the_call,
@@ -246,7 +304,8 @@
       {"responses to other calls", complete_response, complete_response},
       {"no response", "x", "x"}};
   const auto belongs_to_call = [](const http_response& head) {
-    return find_header(head.headers, "X-Id") != "1";
+    return find_header(head.headers, "X-Id") == "1" ? response_match::other_call
+                                                    : response_match::this_call;
   };
   // Covers the limits of the call plus the kernel's socket buffers.
   constexpr std::size_t max_sent = 32U << 20U;
