Streams: an engine that refused the prefill gets no decode of the same request

Cause: the prefill and the decode of a request carry the same request id. An engine that refuses the prefill, changes its stage and then gets the decode on the same connection can repeat the refusal before its answer, and the id can't tell the two apart.

The engine that refused a prefill now counts as tried, as an engine that lost one does. The next search leaves it out for prefill too, where it would most likely refuse again.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -245,6 +245,9 @@
   // Handles a refused prefill, which ran nothing. Tries another prefill engine,
   // because prefilling on a decode engine delays the streams that it serves.
   void retry_refused_prefill(int status) {
+    // The engine may repeat the refusal before its response to the decode, with
+    // the same request id.
+    tried_servers_.insert(prefill_server_.id);
     search_.observe(prefill_server_.id, status == status_unavailable
                                             ? engine_signal::exports_full
                                             : engine_signal::unreachable);
--- a/test/gateway-repeated-answer-test.cc
+++ b/test/gateway-repeated-answer-test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +25,10 @@
     raw_reply("Citronwharf-Not-Run: 1\r\n", "refused", 503);
 const std::string misdirected = raw_reply("", "misdirected", 421);
 
+std::string id_of(const http_request& request) {
+  return find_header(request.headers, "Citronwharf-Request-Id");
+}
+
 // Two servers that refuse some requests without a request id and serve the
 // others.
 struct repeated_answer_fixture : gateway_fixture {
@@ -98,10 +104,6 @@
     return request.find("POST /s/") == 0;
   }
 
-  static std::string id_of(const http_request& request) {
-    return find_header(request.headers, "Citronwharf-Request-Id");
-  }
-
   // A request that a server refuses is followed by one that runs.
   void check_request_after_refusal() {
     const http_response refused = call(callers, request_to("/c/1"));
@@ -254,3 +256,77 @@
   BOOST_TEST(got.status == 200);
   BOOST_TEST(got.body == "done ");
 }
+
+// The engine that refuses the prefill changes its stage meanwhile; the other
+// engine refuses everything.
+BOOST_FIXTURE_TEST_CASE(
+    repeated_prefill_refusal_is_not_taken_for_that_of_decode, gateway_fixture) {
+  max_hold_ms = 0;
+  decode.answers = [](const http_request& request,
+                      std::unique_ptr<citronwharf::http_exchange> exchange) {
+    exchange->respond(reply(503, "",
+                            {{"Citronwharf-Not-Run", "1"},
+                             {"Citronwharf-Request-Id", id_of(request)}}));
+  };
+  int executions = 0;
+  std::string earlier_refusal;
+  std::function<void()> refuse_prefill;
+  raw_server engine(loop, [&](const std::string& request,
+                              const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    const std::string headers = "Citronwharf-Request-Id: " + id + "\r\n";
+    if (id.empty()) {
+      caller->write(raw_reply("", "{}"));
+    } else if (!raw_header(request, "Citronwharf-Stage").empty()) {
+      earlier_refusal =
+          raw_reply(headers + "Citronwharf-Not-Run: 1\r\n", "", 503);
+      refuse_prefill = [caller, &earlier_refusal] {
+        caller->write(earlier_refusal);
+      };
+    } else {
+      ++executions;
+      caller->write(
+          earlier_refusal +
+          raw_reply(headers + "Citronwharf-Server-Stamp: s\r\n", event(1)));
+    }
+  });
+  instances = json::array();
+  add("d1", "models", "decode", decode);
+  json entry = instances.front();
+  entry["id"] = "p1";
+  entry["addr"] = engine.address();
+  entry["stage"] = "prefill";
+  instances.push_back(entry);
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_until_ready();
+  wait_until_fleet_is_known();
+
+  const auto run_loop_for = [&](std::chrono::milliseconds span) {
+    const auto end = std::chrono::steady_clock::now() + span;
+    run_until(loop, [&] { return std::chrono::steady_clock::now() >= end; });
+  };
+  const auto wait_for_directory_read = [&] {
+    const std::size_t reads = directory.seen.size();
+    BOOST_REQUIRE(
+        run_until(loop, [&] { return directory.seen.size() > reads; }));
+  };
+  // The list is read every 600 ms, and the prefill times out after 450 ms.
+  wait_for_directory_read();
+  run_loop_for(std::chrono::milliseconds(350));
+  http_response got;
+  bool ended = false;
+  const auto running = citronwharf::fetch(
+      loop, {callers}, prompt_to("/s/1"),
+      [&](absl::StatusOr<http_response> response, bool /*sent*/) {
+        got = response.ok() ? *std::move(response) : reply(0, "");
+        ended = true;
+      });
+  BOOST_REQUIRE(run_until(loop, [&] { return refuse_prefill != nullptr; }));
+  instances[1]["stage"] = "decode";
+  wait_for_directory_read();
+  run_loop_for(std::chrono::milliseconds(50));
+  refuse_prefill();
+  BOOST_REQUIRE(run_until(loop, [&] { return ended; }));
+  BOOST_TEST(got.status == 503);
+  BOOST_TEST(executions == 0);
+}
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -151,7 +151,7 @@
                          {{"slots", 8},
                           {"kvTokens", 50000},
                           {"handleS", 0.5},
-                          {"holdMs", 2000}}}},
+                          {"holdMs", max_hold_ms}}}},
                        {{"name", "desk"}}}},
                      {"tenants",
                       {{{"name", "t1"},
@@ -210,6 +210,7 @@
   std::unique_ptr<child_process> gateway;
   int last_id = 0;
   int gap_objective_ms = 300;
+  int max_hold_ms = 2000;
 };
 
 }  // namespace citronwharf::test
