Streams: an engine that resumes with nothing does not end the stream

Callers got 1 or 2 of 3 events and the last chunk when the next engine answered a stamped 200 without any event: with Content-Length 0, with an empty chunked body, or with a head without length and a closed connection.

Cause: the end of a response was taken for the end of the stream if any event had been relayed, by whichever engine. Now is_stream_complete() decides: the engine whose response ends must have sent an event, and no part of one may be left. Otherwise the attempt has failed, as it does for an empty first response; another engine may go on, or the caller's stream is broken off. An engine that truly had nothing left is treated the same, since the two can't be told apart; the caller can resume.

Ruled out by the same test, 11 ways to break off before 15 answers of the next engine: 500, 404, 503, 421, an answer without stamp, events that begin again, error text without a blank line, cut heads and silence. None of their bytes reached the caller, and each of these streams was broken off.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -454,11 +454,20 @@
     }
   }
 
+  // Precondition: the response of the current engine is complete. An engine
+  // that resumes a stream must send an event before it may end the stream: one
+  // that closes the connection at once looks the same as one with nothing left
+  // to send.
+  bool is_stream_complete() const {
+    return events_from_engine_ > 0 && !splitter_.has_partial_event();
+  }
+
   void on_response_end() {
     stop_silence_timer();
     if (response_started_) {
-      if (splitter_.has_partial_event() || events_ == 0) {
-        add_to_trail("ended_in_event");
+      if (!is_stream_complete()) {
+        add_to_trail(events_from_engine_ == 0 ? "ended_without_event"
+                                              : "ended_in_event");
         finish_attempt(server_result::failed);
         return;
       }
