HTTP pool: a reset response without length is not complete

Cause: a socket reports the error of a reset once. A write that is under way takes it, and the read that follows sees the end of the stream, which ends a response without length. The system calls show it: sendto gives ECONNRESET, the recvfrom after it 0. The handler of the write is queued then, but may run after that of the read.

A response that ends with its connection while the request is not written is now judged after the handlers that are queued: it has failed if the write has. Responses to written requests, and those with a length or chunks, are handled as before; a server that only closes after an early response still completes it.

--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -117,6 +117,7 @@
   void start_response();
   void read_more();
   void on_read(error_code error);
+  void deliver_unless_reset();
   void deliver();
   bool handle_head();
   void complete();
@@ -138,6 +139,7 @@
   bool busy_ = false;             // a call is in progress
   bool sent_ = false;             // part of the request may have been sent
   bool request_written_ = false;  // the request was written completely
+  bool write_failed_ = false;
   bool head_delivered_ = false;
   bool skipping_ = false;  // the response belongs to another call
   int skipped_ = 0;        // responses
@@ -292,12 +294,14 @@
 void pooled_connection::exchange() {
   sent_ = true;
   request_written_ = false;
+  write_failed_ = false;
   asio::async_write(
       socket_, asio::buffer(request_bytes_),
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
         // A write error is reported by the read, which may first return a
         // response.
         self->request_written_ = !error;
+        self->write_failed_ = static_cast<bool>(error);
       });
   skipped_ = 0;
   start_response();
@@ -335,9 +339,28 @@
     fail(absl::UnavailableError("read: " + error.message()));
     return;
   }
+  if (parser_->is_done() && parser_->need_eof() && !request_written_) {
+    // If the server reset the connection, the write has received that error,
+    // and the read only the end of the stream. The handler of the write is
+    // queued.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->deliver_unless_reset(); });
+    return;
+  }
   deliver();
 }
 
+void pooled_connection::deliver_unless_reset() {
+  if (!busy_) {
+    return;
+  }
+  if (write_failed_) {
+    fail(absl::UnavailableError("connection reset"));
+  } else {
+    deliver();
+  }
+}
+
 void pooled_connection::deliver() {
   // Keeps the connection alive if a handler destroys the call.
   const auto self = shared_from_this();
--- a/test/http_pool-test.cc
+++ b/test/http_pool-test.cc
@@ -159,6 +159,46 @@
   BOOST_TEST(call(server.address()) == "cut");
 }
 
+// A write that is under way may take the error of the reset, and the read then
+// sees the end of the stream.
+BOOST_FIXTURE_TEST_CASE(response_without_length_is_incomplete_if_reset,
+                        fixture) {
+  tcp::acceptor acceptor(loop, tcp::endpoint(tcp::v4(), 0));
+  tcp::socket server(loop);
+  std::string head;
+  acceptor.async_accept(server, [&](auto error) {
+    BOOST_REQUIRE(!error);
+    boost::asio::async_read_until(
+        server, boost::asio::dynamic_buffer(head), "\r\n\r\n",
+        [&](auto failed, std::size_t) {
+          BOOST_REQUIRE(!failed);
+          boost::asio::write(
+              server,
+              boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\ncut")));
+        });
+  });
+  // Larger than the buffers of both sockets.
+  constexpr std::size_t body_bytes = 32U << 20U;
+  pooled_call options;
+  options.address =
+      fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+  std::string body;
+  std::string result;
+  http_call_handlers handlers;
+  handlers.on_body = [&](const std::string& part) { body += part; };
+  handlers.on_done = [&] { result = "complete"; };
+  handlers.on_failure = [&](const http_failure& failure) {
+    result = failure.sent ? "failed(sent)" : "failed(unsent)";
+  };
+  const auto running = pool.start(
+      options, {"POST", "/", {}, std::string(body_bytes, 'x'), ""}, handlers);
+  BOOST_REQUIRE(run_until(loop, [&] { return body == "cut"; }));
+  server.set_option(boost::asio::socket_base::linger(true, 0));
+  server.close();
+  BOOST_REQUIRE(run_until(loop, [&] { return !result.empty(); }));
+  BOOST_TEST(result == "failed(sent)");
+}
+
 BOOST_FIXTURE_TEST_CASE(failed_connect_reports_nothing_sent, fixture) {
   tcp::acceptor closed(loop, tcp::endpoint(tcp::v4(), 0));
   const std::string address =
