HTTP server: streams to HTTP/1.0 clients are not chunked

Found by reading for a report on streams that look complete: an HTTP/1.0 client got a stream with chunk framing, which it doesn't know, and a stream that broke off ended with a FIN, which to such a client is its proper end.

A stream to an HTTP/1.0 client now ends with its connection. An incomplete one is reset in close(), the one way by which connections end early.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -126,6 +126,10 @@
     }
     phase_ = phase::closed;
     timer_.cancel();
+    if (delimited_by_close_) {
+      // Only a reset shows the client that the stream is incomplete.
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored_);
+    }
     socket_.close(ignored_);
     if (auto server = server_.lock()) {
       server->forget(shared_from_this());
@@ -187,8 +191,10 @@
   phase phase_ = phase::idle;
   std::uint64_t request_number_ = 0;
   bool keep_alive_ = true;
-  bool refused_ = false;          ///< the request was not read completely
-  bool response_queued_ = false;  ///< the complete response is queued
+  bool refused_ = false;             ///< the request was not read completely
+  bool chunked_allowed_ = true;      ///< the client knows chunked streams
+  bool delimited_by_close_ = false;  ///< the response, and it is incomplete
+  bool response_queued_ = false;     ///< the complete response is queued
   bool writing_ = false;
   bool watching_ = false;
   std::deque<std::string> queue_;
@@ -350,6 +356,8 @@
   response_queued_ = false;
   const auto message = parser_->release();
   keep_alive_ = message.keep_alive();
+  constexpr unsigned http_1_1 = 11;
+  chunked_allowed_ = message.version() >= http_1_1;
   http_request request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -401,19 +409,22 @@
 
 void connection::start_stream(const http_response& head) {
   update_keep_alive();
+  delimited_by_close_ = !chunked_allowed_;
+  keep_alive_ = keep_alive_ && !delimited_by_close_;
   auto message = to_beast(head, keep_alive_);
   message.body().clear();
-  message.chunked(true);
+  message.chunked(!delimited_by_close_);
   queue(fmt::format("{}", fmt::streamed(message.base())));
 }
 
 void connection::write_chunk(const std::string& data) {
-  queue(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
+  queue(delimited_by_close_ ? data
+                            : fmt::format("{:x}\r\n{}\r\n", data.size(), data));
 }
 
 void connection::finish_stream() {
   response_queued_ = true;
-  queue("0\r\n\r\n");
+  queue(delimited_by_close_ ? "" : "0\r\n\r\n");
 }
 
 void connection::queue(std::string bytes) {
@@ -458,6 +469,7 @@
 void connection::finish_response() {
   on_closed_ = nullptr;
   response_queued_ = false;
+  delimited_by_close_ = false;
   const auto server = server_.lock();
   if (!keep_alive_ || !server || !server->accepting()) {
     socket_.shutdown(tcp::socket::shutdown_send, ignored_);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -43,7 +43,9 @@
 
   /// Sends a complete response. Precondition: nothing was sent before.
   virtual void respond(const http_response& response) = 0;
-  /// Starts a chunked response. Precondition: nothing was sent before.
+  /// Starts a chunked response; for an HTTP/1.0 client one that ends with its
+  /// connection, which is reset if it is incomplete. Precondition: nothing was
+  /// sent before.
   virtual void start_stream(const http_response& head) = 0;
   /// Appends to a started stream. Does nothing after the client has
   /// disconnected.
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -11,6 +11,7 @@
 
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "raw_client.h"
 #include "run-until.h"
 
 using namespace citronwharf;  // NOLINT(google-build-using-namespace)
@@ -123,6 +124,27 @@
   BOOST_TEST(!get(loop, at.address(), {"GET", "/broken", {}, "", ""}).ok());
 }
 
+// HTTP/1.0 clients don't know chunks: a stream ends with its connection.
+BOOST_AUTO_TEST_CASE(truncated_stream_to_http_1_0_client_is_reset) {
+  const std::string parts = "part0\npart1\npart2\npart3\npart4\n";
+  for (const std::string fields : {"", "Connection: keep-alive\r\n"}) {
+    for (const std::string target : {"/stream", "/broken"}) {
+      boost::asio::io_context loop;
+      test_server at(loop);
+      const test::raw_client client(
+          loop, at.address(),
+          fmt::format("GET {} HTTP/1.0\r\n{}\r\n", target, fields));
+      BOOST_REQUIRE(run_until(loop, [&] { return client.ended(); }));
+      const test::raw_response got = client.response();
+      BOOST_TEST(got.head.find("chunked") == std::string::npos);
+      BOOST_TEST(got.complete == (target == "/stream"));
+      if (got.complete) {
+        BOOST_TEST(got.body == parts);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(client_disconnect_is_detected) {
   boost::asio::io_context loop;
   test_server at(loop);
