Streams: error text is not relayed as an event

Cause: everything up to a blank line was taken for an event. Now each line must be a comment or a field, whose name is in lower case, as those of server-sent events are; and the first event of an engine that resumes must have an id beyond the last one. Comments are relayed and count as no event. What isn't an event ends the attempt, and the stream is resumed or broken off after its last event.

Not caught: an error appended to the value of a field that ends there, and text that looks like fields within the stream of one engine.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -1,25 +1,46 @@
 #include "gateway/event_splitter.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace citronwharf {
 namespace {
 
-std::optional<std::int64_t> read_id(const std::string& event) {
-  std::size_t line = 0;
-  while (line < event.size()) {
-    const std::size_t end = std::min(event.find('\n', line), event.size());
-    absl::string_view text(event.data() + line, end - line);
+bool is_field_name(absl::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](unsigned char each) {
+           return absl::ascii_islower(each) || each == '-';
+         });
+}
+
+stream_event read_event(std::string bytes) {
+  stream_event out;
+  out.is_comment = true;
+  for (absl::string_view line : absl::StrSplit(bytes, '\n')) {
+    absl::ConsumeSuffix(&line, "\r");
+    if (line.empty() || line.front() == ':') {
+      continue;
+    }
+    out.is_comment = false;
+    const auto name_end = line.find(':');
+    const absl::string_view name = line.substr(0, name_end);
+    if (name_end == absl::string_view::npos || !is_field_name(name)) {
+      out.well_formed = false;
+      continue;
+    }
     std::int64_t id = 0;
-    if (absl::ConsumePrefix(&text, "id:") && absl::SimpleAtoi(text, &id)) {
-      return id;
+    if (!out.id && name == "id" &&
+        absl::SimpleAtoi(line.substr(name_end + 1), &id)) {
+      out.id = id;
     }
-    line = end + 1;
   }
-  return std::nullopt;
+  out.bytes = std::move(bytes);
+  return out;
 }
 
 // Returns the size of the first complete event, or 0 if there is none.
@@ -44,11 +65,8 @@
   std::vector<stream_event> out;
   for (std::size_t size = first_event_size(partial_event_); size != 0;
        size = first_event_size(partial_event_)) {
-    stream_event event;
-    event.bytes = partial_event_.substr(0, size);
-    event.id = read_id(event.bytes);
+    out.push_back(read_event(partial_event_.substr(0, size)));
     partial_event_.erase(0, size);
-    out.push_back(std::move(event));
   }
   return out;
 }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -13,6 +13,11 @@
 struct stream_event {
   std::string bytes;
   std::optional<std::int64_t> id;
+  /// Has no fields: a keep-alive that is not part of the output.
+  bool is_comment = false;
+  /// Each line is a field or a comment. Field names are in lower case, unlike
+  /// most header names, so that a response head is not well-formed.
+  bool well_formed = true;
 };
 
 /// Buffers incomplete events: a server may fail in the middle of an event, and
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -412,11 +412,30 @@
         milliseconds(gap_timeout_objectives * route().gap_objective_ms));
   }
 
+  // Returns why an event does not continue the caller's stream, or "".
+  std::string find_fault(const stream_event& event) const {
+    if (!event.well_formed) {
+      return "malformed_event";
+    }
+    if (event.is_comment || !last_event_id_) {
+      return "";
+    }
+    // Only an event with an id shows that the engine resumes the stream.
+    if (!event.id && events_from_engine_ == 0) {
+      return fmt::format("event_without_id(after {})", *last_event_id_);
+    }
+    if (event.id && *event.id <= *last_event_id_) {
+      return fmt::format("event_out_of_order({} after {})", *event.id,
+                         *last_event_id_);
+    }
+    return "";
+  }
+
   // Returns whether the stream continues.
   bool relay_event(const stream_event& event) {
-    if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
-      add_to_trail(fmt::format("event_out_of_order({} after {})", *event.id,
-                               *last_event_id_));
+    const std::string fault = find_fault(event);
+    if (!fault.empty()) {
+      add_to_trail(fault);
       finish_attempt(server_result::failed);
       return false;
     }
@@ -426,6 +445,9 @@
       request().exchange->start_stream(context().codec.make_answer(head_));
     }
     request().exchange->write(event.bytes);
+    if (event.is_comment) {
+      return true;
+    }
     const time_point now = runtime_clock::now();
     if (events_++ == 0) {
       first_event_at_ = now;
--- a/test/gateway-broken-stream-test.cc
+++ b/test/gateway-broken-stream-test.cc
@@ -63,6 +63,9 @@
       {"an error in place of a chunk", 1, error_response, ending::fin},
       {"an error within a chunk", 1, "1c\r\nid: 2\nda" + error_response,
        ending::fin},
+      {"an error between events", 1, chunk(error_response), ending::fin},
+      {"an error in the middle of an event", 1,
+       chunk("id: 2\nda" + error_response), ending::fin},
       {"silent after 1 event", 1, "", ending::silence},
       {"silent after 2 events", 2, "", ending::silence}};
   return all;
@@ -124,6 +127,14 @@
        [](request in, int) {
          return raw_reply(in.response_fields(), "out of memory, error\n");
        }},
+      {"error text with a blank line",
+       [](request in, int) {
+         return raw_reply(in.response_fields(), "error: out of memory\n\n");
+       }},
+      {"error with its head",
+       [](request in, int) {
+         return raw_reply(in.response_fields(), error_response);
+       }},
       {"head cut within a field",
        [](request in, int) {
          return "HTTP/1.1 200 -\r\n" + in.response_fields() + "Content-Ty";
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -588,6 +588,25 @@
   BOOST_TEST(!splitter.has_partial_event());
 }
 
+BOOST_AUTO_TEST_CASE(response_head_is_no_event) {
+  event_splitter splitter;
+  auto events = splitter.feed(
+      "HTTP/1.1 500 -\r\nContent-Length: 5\r\n\r\n"
+      "id: 2\ndata: a\r\nContent-Length: 5\r\n\r\n"
+      "out of memory\n\n"
+      "weight-versions: 3\nid: 3\r\ndata: B: c\r\n:D\n\n"
+      ": keep-alive\n\n");
+  BOOST_REQUIRE(events.size() == 5U);
+  for (const std::size_t malformed : {0U, 1U, 2U}) {
+    BOOST_TEST(!events[malformed].well_formed);
+  }
+  BOOST_TEST(events[3].well_formed);
+  BOOST_TEST(!events[3].is_comment);
+  BOOST_TEST(*events[3].id == 3);
+  BOOST_TEST(events[4].well_formed);
+  BOOST_TEST(events[4].is_comment);
+}
+
 // Load: a failing engine sends bytes without a complete event until the
 // connection is closed.
 BOOST_AUTO_TEST_CASE(an_unterminated_event_is_detected) {
