HTTP server: a refused request is never handled

A caller whose request was slower than the read timeout read '408 ... not-run' and, on the same connection, '200': the request ran although its refusal promised that it had not. If only the body was late, the handler ran the request with an empty body and the caller saw the 408 alone. The late bytes were also written into freed memory.

Cause: the read timeout answered the request but left its read pending, and the read's handler acted on success in any phase. While the server discarded what followed the refusal, linger() replaced the block of the buffer that the pending read pointed into.

A read now acts only while its request is still being read. After a refusal the pending read discards what arrives, within the limits of a request, and linger() uses the buffer only once that read has ended; the linger timer closes the socket under a read that does not end. Cancelling the read would not be enough: it consists of several operations, and a step that has already completed starts the next one.

Ruled out: requests that are refused as malformed or too large.

AddressSanitizer: heap-use-after-free in the pending receive, freed by linger().

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -165,6 +165,7 @@
   void await_request();
   void read_header();
   void read_body();
+  bool end_read(error_code error);
   void dispatch();
   void watch_for_disconnect();
   void refuse_request(const http_response& response);
@@ -189,6 +190,7 @@
   bool keep_alive_ = true;
   bool refused_ = false;          ///< the request was not read completely
   bool response_queued_ = false;  ///< the complete response is queued
+  bool reading_ = false;          ///< a pending read uses buffer_ and parser_
   bool writing_ = false;
   bool watching_ = false;
   std::deque<std::string> queue_;
@@ -291,33 +293,40 @@
 void connection::read_header() {
   phase_ = phase::reading;
   start_timer(options_.read_timeout, &connection::read_expired);
+  reading_ = true;
   http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-        if (error) {
-          self->on_read_error(error);
-          return;
+        if (self->end_read(error)) {
+          self->read_body();
         }
-        self->read_body();
       });
 }
 
 void connection::read_body() {
+  reading_ = true;
   http::async_read(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-        if (error) {
-          self->on_read_error(error);
-          return;
+        if (self->end_read(error)) {
+          self->dispatch();
         }
-        self->dispatch();
       });
 }
 
-void connection::on_read_error(error_code error) {
-  if (phase_ != phase::reading) {
-    return;
+// Returns whether the read succeeded and its request is still wanted: it may
+// have been refused, or the connection closed, since the read began.
+bool connection::end_read(error_code error) {
+  reading_ = false;
+  if (phase_ == phase::lingering) {
+    linger();
+  } else if (phase_ == phase::reading && error) {
+    on_read_error(error);
   }
+  return phase_ == phase::reading && !error;
+}
+
+void connection::on_read_error(error_code error) {
   if (error == http::error::header_limit) {
     refuse_request(problem(431, "too-many-headers"));
   } else if (error == http::error::body_limit) {
@@ -485,6 +494,9 @@
 // Reads and discards remaining data. Closing a socket with unread data resets
 // the connection, and the client might not receive the refusal.
 void connection::linger() {
+  if (reading_) {
+    return;  // end_read() continues
+  }
   buffer_.clear();
   constexpr std::size_t read_buffer_bytes = 16U << 10U;
   socket_.async_read_some(
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -7,8 +7,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <thread>
 #include <vector>
 
+#include "base/clock.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "run-until.h"
@@ -19,13 +21,15 @@
 
 namespace {
 
+constexpr duration read_timeout = milliseconds(300);
+
 // A server that echoes, streams, hangs or truncates the response by path.
 struct test_server {
   explicit test_server(boost::asio::io_context& loop) {
     http_server_options options;
     options.max_header_bytes = 2048;
     options.max_body_bytes = 1000;
-    options.read_timeout = milliseconds(300);
+    options.read_timeout = read_timeout;
     options.idle_timeout = milliseconds(600);
     options.max_connections = 8;
     server = std::make_unique<http_server>(
@@ -81,12 +85,14 @@
   return response;
 }
 
-// Sends raw bytes and returns everything received until the server closes.
-std::string exchange_raw_bytes(boost::asio::io_context& loop,
-                               std::uint16_t port, const std::string& bytes) {
+tcp::socket connect_raw(boost::asio::io_context& loop, std::uint16_t port) {
   tcp::socket raw(loop);
   raw.connect({boost::asio::ip::make_address("127.0.0.1"), port});
-  boost::asio::write(raw, boost::asio::buffer(bytes));
+  return raw;
+}
+
+// Returns everything received until the server ends its side.
+std::string read_to_end(boost::asio::io_context& loop, tcp::socket& raw) {
   std::string received;
   bool closed = false;
   std::array<char, 4096> buffer{};
@@ -106,6 +112,98 @@
   return received;
 }
 
+// Sends raw bytes and returns everything received until the server closes.
+std::string exchange_raw_bytes(boost::asio::io_context& loop,
+                               std::uint16_t port, const std::string& bytes) {
+  tcp::socket raw = connect_raw(loop, port);
+  boost::asio::write(raw, boost::asio::buffer(bytes));
+  return read_to_end(loop, raw);
+}
+
+struct paused_clock {
+  paused_clock() { runtime_clock::pause(); }
+  ~paused_clock() { runtime_clock::resume(); }
+  paused_clock(const paused_clock&) = delete;
+  paused_clock& operator=(const paused_clock&) = delete;
+};
+
+// Runs everything that is ready.
+void settle(boost::asio::io_context& loop) {
+  loop.restart();
+  while (loop.poll() > 0) {
+  }
+}
+
+// Advances the paused clock so that the loop finds all timers that are due,
+// and all bytes that have arrived, in its next turn.
+void advance_while_blocked(duration step) {
+  constexpr milliseconds longer_than_poll_interval(4);
+  runtime_clock::advance(step);
+  std::this_thread::sleep_for(longer_than_poll_interval);
+}
+
+// When the rest of a slow request arrives.
+enum class arrival { before_expiry, just_before_refusal, after_refusal };
+
+struct outcome {
+  std::string received;
+  int handled;
+};
+
+outcome send_slowly(const std::string& begin, const std::string& rest,
+                    arrival when) {
+  const paused_clock paused;
+  boost::asio::io_context loop;
+  test_server at(loop);
+  tcp::socket caller = connect_raw(loop, at.port);
+  const auto send_rest = [&] {
+    boost::system::error_code ignored;
+    boost::asio::write(caller, boost::asio::buffer(rest), ignored);
+  };
+  // Due before the read timeout, but in the same turn of the loop.
+  runtime_timer earlier(loop);
+  earlier.expires_after(read_timeout - milliseconds(1));
+  if (when == arrival::just_before_refusal) {
+    earlier.async_wait([&](boost::system::error_code error) {
+      if (!error) {
+        send_rest();
+      }
+    });
+  }
+  boost::asio::write(caller, boost::asio::buffer(begin));
+  settle(loop);
+  if (when == arrival::before_expiry) {
+    send_rest();
+  }
+  advance_while_blocked(read_timeout);
+  BOOST_REQUIRE(run_until(loop, [&] { return caller.available() > 0; }));
+  if (when == arrival::after_refusal) {
+    settle(loop);
+    send_rest();
+  }
+  settle(loop);
+  caller.shutdown(tcp::socket::shutdown_send);
+  outcome seen{read_to_end(loop, caller), 0};
+  BOOST_TEST(run_until(loop, [&] { return at.server->connections() == 0; }));
+  seen.handled = at.requests;
+  return seen;
+}
+
+struct split_request {
+  std::string begin;
+  std::string rest;
+};
+
+const std::vector<split_request>& split_requests() {
+  static const std::vector<split_request> requests{
+      {"POST / HTTP/1.1\r\nHost: a\r\n", "Content-Length: 5\r\n\r\nhello"},
+      {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", "hello"},
+      {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel", "lo"},
+      {"GET / HT", "TP/1.1\r\n\r\n"},
+  };
+  return requests;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(complete_and_streamed_responses_are_received) {
@@ -162,6 +260,65 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(request_refused_for_its_read_timeout_is_never_handled) {
+  for (const split_request& each : split_requests()) {
+    for (const arrival when :
+         {arrival::just_before_refusal, arrival::after_refusal}) {
+      BOOST_TEST_CONTEXT(each.begin << " then " << each.rest << ", order "
+                                    << static_cast<int>(when)) {
+        const outcome seen = send_slowly(each.begin, each.rest, when);
+        BOOST_TEST(seen.received.substr(0, 12) == "HTTP/1.1 408");
+        BOOST_TEST(seen.received.rfind("HTTP/1.1 ") == 0U);
+        BOOST_TEST(seen.handled == 0);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(request_that_arrives_with_its_timeout_has_one_outcome) {
+  for (const split_request& each : split_requests()) {
+    BOOST_TEST_CONTEXT(each.begin << " then " << each.rest) {
+      const outcome seen =
+          send_slowly(each.begin, each.rest, arrival::before_expiry);
+      const bool refused = seen.received.rfind("HTTP/1.1 408", 0) == 0;
+      BOOST_TEST(seen.received.rfind("HTTP/1.1 ") == 0U);
+      BOOST_TEST(seen.handled == (refused ? 0 : 1));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(invalid_request_is_never_handled_when_more_bytes_follow) {
+  const std::string big(4000, 'x');
+  const std::string whole = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::vector<split_request> table{
+      {"nonsense\r\n\r\n", whole},
+      {"GET / HTTP/1.1\r\nA: " + big, "\r\n\r\n" + whole},
+      {"POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n", big + whole},
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfa0\r\n" + big,
+       "\r\n0\r\n\r\n" + whole},
+      {"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", whole},
+  };
+  for (const split_request& each : table) {
+    BOOST_TEST_CONTEXT(each.begin.substr(0, 60)) {
+      boost::asio::io_context loop;
+      test_server at(loop);
+      tcp::socket caller = connect_raw(loop, at.port);
+      boost::asio::write(caller, boost::asio::buffer(each.begin));
+      BOOST_REQUIRE(run_until(loop, [&] { return caller.available() > 0; }));
+      settle(loop);
+      boost::asio::write(caller, boost::asio::buffer(each.rest));
+      settle(loop);
+      const std::string received = read_to_end(loop, caller);
+      caller.close();
+      BOOST_TEST(
+          run_until(loop, [&] { return at.server->connections() == 0; }));
+      BOOST_TEST(received.substr(0, 10) == "HTTP/1.1 4");
+      BOOST_TEST(received.rfind("HTTP/1.1 ") == 0U);
+      BOOST_TEST(at.requests == 0);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(idle_and_surplus_connections_are_closed) {
   boost::asio::io_context loop;
   test_server at(loop);
