HTTP server: the idle timeout spares a request that has arrived

A caller that sent its next request on a kept connection just before the idle timeout was handled got no answer: the connection was closed, and the caller could not tell whether the request had run.

Cause: a server that is behind has the expiry queued when the request arrives, and closed the connection with the request unread. The other order was already right: the wait for the request sets the timer again, which ends the idle wait.

The idle timeout now closes the connection by close_if_idle(), as the stop of the server does: with bytes in the socket it stays open, since the wait for them is pending and sets the read timeout.

Before: request_that_arrives_at_the_idle_timeout_is_answered fails (0 requests handled, the connection closed). After: it passes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -279,7 +279,7 @@
     close();
     return;
   }
-  start_timer(options_.idle_timeout, &connection::close);
+  start_timer(options_.idle_timeout, &connection::close_if_idle);
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](error_code error) {
                        if (error || self->phase_ != phase::idle) {
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr duration read_timeout = milliseconds(300);
+constexpr duration idle_timeout = milliseconds(600);
 
 // A server that echoes, streams, hangs or truncates the response by path.
 struct test_server {
@@ -30,7 +31,7 @@
     options.max_header_bytes = 2048;
     options.max_body_bytes = 1000;
     options.read_timeout = read_timeout;
-    options.idle_timeout = milliseconds(600);
+    options.idle_timeout = idle_timeout;
     options.max_connections = 8;
     server = std::make_unique<http_server>(
         loop, options,
@@ -333,6 +334,27 @@
                  .substr(0, 12) == "HTTP/1.1 503");
 }
 
+BOOST_AUTO_TEST_CASE(request_that_arrives_at_the_idle_timeout_is_answered) {
+  const paused_clock paused;
+  boost::asio::io_context loop;
+  test_server at(loop);
+  tcp::socket caller = connect_raw(loop, at.port);
+  // Due before the idle timeout, but in the same turn of the loop.
+  runtime_timer earlier(loop);
+  earlier.expires_after(idle_timeout - milliseconds(1));
+  earlier.async_wait([&](boost::system::error_code error) {
+    if (!error) {
+      boost::asio::write(
+          caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    }
+  });
+  settle(loop);
+  advance_while_blocked(idle_timeout);
+  run_until(loop,
+            [&] { return at.requests == 1 || at.server->connections() == 0; });
+  BOOST_TEST(at.requests == 1);
+}
+
 // Guards against losing requests when the server is stopped while clients
 // connect: connections that the kernel has already accepted must be answered.
 BOOST_AUTO_TEST_CASE(stop_answers_requests_that_have_arrived) {
