HTTP server: a stop answers a connection that is being accepted

A caller that connected and sent a request while the server was being stopped could get no answer although the kernel and the server had accepted the connection.

Cause: with several connections waiting, the next one is accepted as soon as the handler of the one before asks for it, and its own handler is queued. If stop_accepting() came between, that handler found the listener closed and dropped the socket with the request in it.

The handler now adds the connection unless the server itself was closed.

Before: stop_answers_a_connection_that_is_being_accepted fails (1 of 2 requests handled). After: it passes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -94,6 +94,7 @@
   tcp::acceptor acceptor_;
   std::unordered_set<std::shared_ptr<connection>> connections_;
   bool closing_ = false;  // connections end after their next response
+  bool closed_ = false;
 };
 
 // One client connection, kept alive by pending handlers and by the server's set
@@ -537,13 +538,13 @@
 void http_server::impl::accept() {
   acceptor_.async_accept(
       [self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (!self->acceptor_.is_open()) {
-          return;
-        }
-        if (!error) {
+        // A connection may have been accepted just before stop_accepting().
+        if (!error && !self->closed_) {
           self->add_connection(std::move(socket));
         }
-        self->accept();
+        if (self->acceptor_.is_open()) {
+          self->accept();
+        }
       });
 }
 
@@ -575,6 +576,7 @@
 }
 
 void http_server::impl::close() {
+  closed_ = true;
   error_code ignored;
   acceptor_.close(ignored);
   on_request_ = nullptr;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -394,6 +394,25 @@
   BOOST_TEST(refused.failed());
 }
 
+// The second connection is accepted when the first is handled, but its own
+// handler has not run when the server stops.
+BOOST_AUTO_TEST_CASE(stop_answers_a_connection_that_is_being_accepted) {
+  boost::asio::io_context loop;
+  test_server at(loop);
+  std::vector<tcp::socket> callers;
+  for (int count = 0; count < 2; ++count) {
+    callers.push_back(connect_raw(loop, at.port));
+    boost::asio::write(
+        callers.back(),
+        boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  }
+  BOOST_REQUIRE(run_until(loop, [&] { return at.server->connections() == 1; }));
+  at.server->stop_accepting();
+  run_until(
+      loop, [&] { return at.requests == 2; }, seconds(1));
+  BOOST_TEST(at.requests == 2);
+}
+
 BOOST_AUTO_TEST_CASE(keep_alive_serves_pipelined_requests_in_order) {
   boost::asio::io_context loop;
   test_server at(loop);
