Timers: events can't postpone an expiry that is due

What callers could see: a replica under steady traffic did not act on its time. A follower whose leader was gone held no election for as long as messages that change nothing reached it, and a leader would have been as late with heartbeats and proposals that time out.

Cause: since a runtime_timer aborts an expiry that is queued when it is set again, a timer that is set in each turn of the event loop to a time that has passed never expires. disk_replica::arm_timer() did so after every pump.

runtime_timer::expires_by() tells whether a wait is outstanding that ends in time; then the timer is left alone. A timer that expires earlier than needed costs one look at the clock. The same was open in two more places: allowance_client::schedule_queue_replies() set its timer to 1 ms from now on each queued request, and placement_client::schedule_tick() to 20 ms from now on each request that found none pending, which held back claims to a new leader, keepalives and decisions.

Looked at and left, by reading: active_request sets its timer only for another time; allowance_service keeps an earlier expiry; claim_client has a flag; startup_queue and admin_forwarder set theirs with the first item only; document_follower and configuration_follower do the work of their timers in each poll; the timers of endpoint_role, directory_sync, health_sync, engine_watch and document_cluster are set by their own expiry; the drain check of gateway_role is made by each event that sets its timer.

The two clients of the gateway have no test of their own for this.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -76,6 +76,12 @@
     timer_.expires_at(until);
   }
   time_point expiry() const { return timer_.expiry(); }
+  /// Returns whether a wait is outstanding that ends at `due` or before. What
+  /// sets a timer on each event asks this first: setting it aborts an expiry
+  /// that is queued, so frequent events could postpone it for ever.
+  bool expires_by(time_point due) const {
+    return state_->waiting && timer_.expiry() <= due;
+  }
   /// Aborts all waits that have not been handled.
   void cancel() {
     abort_waits();
@@ -88,27 +94,35 @@
   /// function.
   template <typename Handler>
   void async_wait(Handler handler) {
-    timer_.async_wait([started_in = *generation_, generation = generation_,
+    state_->waiting = true;
+    timer_.async_wait([started_in = state_->generation, state = state_,
                        handler = std::move(handler)](
                           boost::system::error_code error) mutable {
-      if (*generation != started_in) {
+      if (state->generation != started_in) {
         error = boost::asio::error::operation_aborted;
+      } else {
+        state->waiting = false;
       }
       handler(error);
     });
   }
 
  private:
+  struct wait_state {
+    std::uint64_t generation = 0;  // incremented when waits are aborted
+    bool waiting = false;          // a wait of this generation is outstanding
+  };
+
   void abort_waits() {
-    if (generation_ != nullptr) {  // else moved from
-      ++*generation_;
+    if (state_ != nullptr) {  // else moved from
+      ++state_->generation;
+      state_->waiting = false;
     }
   }
 
   boost::asio::basic_waitable_timer<runtime_clock, runtime_wait_traits> timer_;
-  // Incremented when waits are aborted. Outlives the timer in its handlers.
-  std::shared_ptr<std::uint64_t> generation_ =
-      std::make_shared<std::uint64_t>(0);
+  // Outlives the timer in its handlers.
+  std::shared_ptr<wait_state> state_ = std::make_shared<wait_state>();
 };
 
 /// Calls `handler` when the timer expires, unless the timer is cancelled or
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -287,6 +287,9 @@
     timer_.cancel();
     return;
   }
+  if (timer_.expires_by(due)) {
+    return;
+  }
   timer_.expires_at(due);
   when_expired(timer_, alive_, [this] { on_timer(); });
 }
--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -11,6 +11,7 @@
 constexpr duration reply_timeout = milliseconds(60);
 // Interval of checks for overdue replies and for a new leader.
 constexpr duration check_interval = milliseconds(20);
+constexpr duration min_queue_wait = milliseconds(1);
 
 }  // namespace
 
@@ -84,7 +85,11 @@
   if (!next) {
     return;
   }
-  queue_timer_.expires_after(std::max<duration>(milliseconds(1), *next - now));
+  const time_point due = std::max(*next, now + min_queue_wait);
+  if (queue_timer_.expires_by(due)) {
+    return;
+  }
+  queue_timer_.expires_at(due);
   when_expired(queue_timer_, alive_, [this] { reply_to_queued(); });
 }
 
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -364,7 +364,12 @@
 
 void placement_client::schedule_tick() {
   const bool busy = !pending_.empty() || (leading_ && scheduler_.has_waiting());
-  timer_.expires_after(busy ? busy_interval : idle_interval);
+  const time_point due =
+      runtime_clock::now() + (busy ? busy_interval : idle_interval);
+  if (timer_.expires_by(due)) {
+    return;
+  }
+  timer_.expires_at(due);
   when_expired(timer_, alive_, [this] { tick(); });
 }
 
--- a/test/clock-test.cc
+++ b/test/clock-test.cc
@@ -2,7 +2,9 @@
 #include "base/clock.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -51,6 +53,46 @@
   BOOST_TEST(expired == 1);
 }
 
+BOOST_AUTO_TEST_CASE(timer_that_each_event_looks_at_still_expires) {
+  boost::asio::io_context loop;
+  runtime_timer timer(loop);
+  const auto due = runtime_clock::now();
+  int expired = 0;
+  int events = 0;
+  std::function<void()> on_event = [&] {
+    if (expired == 0 && !timer.expires_by(due)) {
+      timer.expires_at(due);
+      timer.async_wait(
+          [&](boost::system::error_code error) { expired += error ? 0 : 1; });
+    }
+    if (expired == 0 && ++events < 10000) {
+      boost::asio::post(loop, on_event);
+    }
+  };
+  on_event();
+  loop.run();
+  BOOST_TEST(expired == 1);
+}
+
+BOOST_AUTO_TEST_CASE(timer_has_no_time_to_expire_by_without_a_wait) {
+  boost::asio::io_context loop;
+  runtime_timer timer(loop);
+  const auto due = runtime_clock::now();
+  timer.expires_at(due);
+  BOOST_TEST(!timer.expires_by(due));
+  bool within_handler = true;
+  timer.async_wait([&](boost::system::error_code) {
+    within_handler = timer.expires_by(due);
+  });
+  BOOST_TEST(timer.expires_by(due));
+  BOOST_TEST(!timer.expires_by(due - runtime_clock::duration(1)));
+  loop.run();
+  BOOST_TEST(!within_handler);
+  timer.async_wait([](boost::system::error_code) {});
+  timer.cancel();
+  BOOST_TEST(!timer.expires_by(due));
+}
+
 BOOST_AUTO_TEST_CASE(timer_that_is_set_again_does_not_expire_for_its_old_time) {
   boost::asio::io_context loop;
   runtime_timer first(loop);
--- a/test/replica-test.cc
+++ b/test/replica-test.cc
@@ -4,8 +4,11 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -81,6 +84,11 @@
     std::filesystem::remove_all(options_.data_folder);
   }
 
+  // Sends a reply of no known term to itself, which changes nothing.
+  void receive_stale_message() {
+    hub_->send(options_.process, make_frame(vote_reply{})).IgnoreError();
+  }
+
   bool leads() const { return log && log->status().role == "leader"; }
   const std::string& name() const { return options_.process; }
   const std::string& address() const { return options_.listen.peers; }
@@ -248,3 +256,27 @@
   of.propose(1);
   BOOST_TEST(of.leader()->log->status().members.size() == 2U);
 }
+
+BOOST_AUTO_TEST_CASE(a_follower_flooded_with_messages_elects_a_new_leader) {
+  control_group of;
+  of.leader()->stop();
+  bool flooding = true;
+  std::function<void()> flood = [&] {
+    for (auto& vm : of.vms) {
+      if (flooding && vm->log) {
+        vm->receive_stale_message();
+      }
+    }
+    if (flooding) {
+      boost::asio::post(of.loop, flood);
+    }
+  };
+  flood();
+  const bool elected = run_until(of.loop, [&] {
+    return std::any_of(of.vms.begin(), of.vms.end(),
+                       [](const auto& vm) { return vm->leads(); });
+  });
+  flooding = false;
+  of.loop.poll();
+  BOOST_TEST(elected);
+}
