Events: field names of any case are well-formed

A stream of an engine that writes fields other than in lower case, or a field without a colon, is valid server-sent events and must not be broken off. What tells error text, a response head or JSON from a field is a space or a bracket in the name. gateway-broken-stream-test passes with both rules.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -14,7 +14,8 @@
 bool is_field_name(absl::string_view text) {
   return !text.empty() &&
          std::all_of(text.begin(), text.end(), [](unsigned char each) {
-           return absl::ascii_islower(each) || each == '-';
+           return absl::ascii_isalnum(each) || each == '-' || each == '_' ||
+                  each == '.';
          });
 }
 
@@ -29,12 +30,12 @@
     out.is_comment = false;
     const auto name_end = line.find(':');
     const absl::string_view name = line.substr(0, name_end);
-    if (name_end == absl::string_view::npos || !is_field_name(name)) {
+    if (!is_field_name(name)) {
       out.well_formed = false;
       continue;
     }
     std::int64_t id = 0;
-    if (!out.id && name == "id" &&
+    if (!out.id && name == "id" && name_end != absl::string_view::npos &&
         absl::SimpleAtoi(line.substr(name_end + 1), &id)) {
       out.id = id;
     }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -15,8 +15,8 @@
   std::optional<std::int64_t> id;
   /// Has no fields: a keep-alive that is not part of the output.
   bool is_comment = false;
-  /// Each line is a field or a comment. Field names are in lower case, unlike
-  /// most header names, so that a response head is not well-formed.
+  /// Each line is a comment or a field, whose name has no space or bracket as
+  /// the status line of a response, a sentence or JSON have.
   bool well_formed = true;
 };
 
