Soak: generations meet suspensions and failing engines

Added: three decode engines and a prefill engine, routes of streams that may run once and that may be resumed, and callers that keep sending to all gateways on kept connections, also while a process drains. Gateways are suspended up to four times in short order around the timeouts of a generation (80, 150, 200, 350 and 450 ms). Engines refuse holds and runs, answer holds and prefills late and in two parts, break streams off in an event (FIN, RST), go silent and repeat answers. Faults depend on the seed alone; traffic draws from an engine of its own.

Checked: one run at most of a stream that may run once (TWICE), none of what was refused (REFUSED), events once, in order and from one run (ORDER, MIXED), an end within 0.5 s of the deadline and the time suspended, no connection closed while the request runs unless its process was killed, a drain that ends, and three rounds in a row served within 10 s of the last fault. A failure prints faults, trails and what the gateway logged, with times.

--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -1,8 +1,11 @@
 // Randomized soak test: four gateways run as real processes on loopback
-// addresses. They are killed, paused and drained or lose their disks while
-// operators publish, callers send requests, and servers leave, refuse requests
-// and lose responses. CITRONWHARF_SOAK_SEEDS="1 2 3" runs other seeds,
-// CITRONWHARF_SOAK_SECONDS sets the duration of each.
+// addresses. They are killed, paused, suspended around their timeouts and
+// drained or lose their disks while operators publish, callers send requests
+// and generations, servers leave, refuse requests and lose responses, and
+// engines answer late, refuse, break off and go silent.
+// CITRONWHARF_SOAK_SEEDS="1 2 3" runs other seeds, CITRONWHARF_SOAK_SECONDS
+// sets the duration of each. A failure prints faults and requests with their
+// times.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
@@ -11,15 +14,20 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "gateway_fakes.h"
 #include "net/http_client.h"
 #include "processes.h"
 #include "run-until.h"
+#include "soak_engines.h"
+#include "soak_generations.h"
+#include "soak_log.h"
 
 using namespace citronwharf;        // NOLINT(google-build-using-namespace)
 using namespace citronwharf::test;  // NOLINT(google-build-using-namespace)
@@ -40,7 +48,16 @@
 constexpr const char* withdrawn_id = "withdrawn";
 constexpr std::size_t max_withdrawn_calls = 200;
 
-using steady = std::chrono::steady_clock;
+// Timeouts of a gateway in the path of a generation: leader, connection, hold,
+// keepalive of the leader, prefill.
+const std::vector<int> gateway_timeouts_ms{80, 150, 200, 350, 450};
+constexpr int max_suspensions_in_series = 4;
+constexpr int max_pause_in_series_ms = 60;
+constexpr int decode_engine_count = 3;
+// The time within which everything is served after the last fault.
+constexpr std::chrono::seconds recovery_span(10);
+// The drain timeout and a margin.
+constexpr std::chrono::seconds drain_limit(5);
 
 std::string id_of(const http_request& request) {
   return find_header(request.headers, "Citronwharf-Request-Id");
@@ -48,13 +65,16 @@
 
 class soak {
  public:
-  explicit soak(std::uint64_t seed) : random_(seed) {
+  explicit soak(std::uint64_t seed) : random_(seed), traffic_random_(seed) {
     directory_server_.answers =
         [this](const http_request&, std::unique_ptr<http_exchange> exchange) {
           json entries = json::array();
           for (const auto& each : servers_) {
             entries.push_back(listed(each->id, "desk", each->server));
           }
+          for (const auto& each : engines_) {
+            entries.push_back(each->entry());
+          }
           exchange->respond(directory_response(entries));
         };
     for (int index = 0; index < server_count; ++index) {
@@ -65,6 +85,12 @@
             serve(*servers_[index], request, std::move(exchange));
           };
     }
+    for (int index = 0; index <= decode_engine_count; ++index) {
+      const bool prefills = index == decode_engine_count;
+      engines_.push_back(std::make_unique<soak_engine>(
+          loop_, prefills ? "p1" : fmt::format("d{}", index + 1), prefills,
+          generations_, traffic_random_));
+    }
     for (int index = 0; index < gateway_count; ++index) {
       start(index, true);
     }
@@ -78,6 +104,10 @@
     const auto end = std::chrono::steady_clock::now() + length;
     while (std::chrono::steady_clock::now() < end) {
       inject_fault();
+      toggle_engine_faults();
+      if (random_below(2) == 0) {
+        suspend_in_series();
+      }
       const auto pause =
           std::chrono::steady_clock::now() + std::chrono::milliseconds(400);
       while (std::chrono::steady_clock::now() < pause) {
@@ -88,12 +118,17 @@
         for (int sent = 0; sent < 4; ++sent) {
           send_with_withdrawn_key();
         }
-        loop_.restart();
-        loop_.run_for(std::chrono::milliseconds(20));
+        for (int sent = 0; sent < 2; ++sent) {
+          send_generation(random_traffic_below(gateway_count));
+        }
+        generations_.check_deadlines();
+        restart_drained();
+        run_loop_for(std::chrono::milliseconds(20));
       }
     }
     recover();
     check();
+    print_failures();
   }
 
  private:
@@ -159,47 +194,62 @@
     }
     const std::string path =
         folder_.write(name(index) + ".json", settings.dump());
-    children_[index].emplace(
-        "citronwharf_gateway", std::vector<std::string>{"--settings=" + path},
-        fmt::format("{}/{}.log", folder_.path(), name(index)));
+    children_[index].emplace("citronwharf_gateway",
+                             std::vector<std::string>{"--settings=" + path},
+                             log_file(index));
+  }
+
+  std::string log_file(int index) const {
+    return fmt::format("{}/{}.log", folder_.path(), name(index));
   }
 
   std::string data(int index) const {
     return folder_.path() + "/" + name(index) + "-data";
   }
 
-  int random_below(int bound) {
-    return std::uniform_int_distribution<int>(0, bound - 1)(random_);
+  int random_below(int bound) { return test::random_below(random_, bound); }
+  // For draws whose number depends on timing; faults depend on the seed alone.
+  int random_traffic_below(int bound) {
+    return test::random_below(traffic_random_, bound);
   }
 
   // Injects one fault. At most one gateway is down at a time, so that a
   // majority stays.
   void inject_fault() {
-    for (auto& [index, child] : children_) {
-      BOOST_TEST(child->running(), name(index) << " ended by itself");
+    for (int index = 0; index < gateway_count; ++index) {
+      if (draining_ != index && !children_[index]->running()) {
+        log_.check(false, fmt::format("{} ended by itself, exit code {}",
+                                      name(index), children_[index]->wait()));
+        ended_.insert(index);
+      }
     }
     if (paused_) {
-      children_[*paused_]->send_signal(SIGCONT);
+      resume(*paused_);
       paused_.reset();
     }
     const int index = random_below(gateway_count);
     const int fault = random_below(7);
     if (fault < 4) {
+      if (draining_) {
+        return;
+      }
       reset_gateway_views(index);
     }
     switch (fault) {
       case 0:
-        children_[index]->kill();
+        log_.note("kill " + name(index));
+        kill(index);
         start(index, false);
         return;
       case 1:
-        children_[index]->send_signal(SIGSTOP);
+        suspend(index);
         paused_ = index;
         return;
       case 2:
+        log_.note("drain " + name(index));
         children_[index]->send_signal(SIGTERM);
-        children_[index]->wait(std::chrono::seconds(5));
-        start(index, false);
+        draining_ = index;
+        drain_until_ = steady::now() + drain_limit;
         return;
       case 3:
         wipe_disk(index);
@@ -215,6 +265,103 @@
     }
   }
 
+  void kill(int index) {
+    children_[index]->kill();
+    resume(index);
+    gateway_times_[index].killed = steady::now();
+  }
+
+  // Callers go on to send to a process that drains until it is gone.
+  void restart_drained() {
+    if (!draining_) {
+      return;
+    }
+    const int index = *draining_;
+    if (children_[index]->running()) {
+      const auto limit =
+          drain_until_ + suspended_between(gateway_times_[index],
+                                           drain_until_ - drain_limit,
+                                           steady::now());
+      if (steady::now() < limit) {
+        return;
+      }
+      log_.check(false, name(index) + " doesn't end its drain");
+      kill(index);
+    }
+    log_.note(name(index) + " has drained");
+    resume(index);
+    draining_.reset();
+    reset_gateway_views(index);
+    start(index, false);
+  }
+
+  void suspend(int index) {
+    if (!suspended_.insert(index).second) {
+      return;
+    }
+    log_.note("suspend " + name(index));
+    reset_gateway_views(index);
+    children_[index]->send_signal(SIGSTOP);
+    // Until it is resumed.
+    gateway_times_[index].suspended.emplace_back(steady::now(),
+                                                 steady::time_point::max());
+  }
+
+  void resume(int index) {
+    if (suspended_.erase(index) == 0) {
+      return;
+    }
+    log_.note("resume " + name(index));
+    reset_gateway_views(index);
+    gateway_times_[index].suspended.back().second = steady::now();
+    children_[index]->send_signal(SIGCONT);
+  }
+
+  // Suspends a gateway a few times in short order, each time for a span around
+  // one of its timeouts.
+  void suspend_in_series() {
+    const int index = random_below(gateway_count);
+    std::chrono::milliseconds start(0);
+    const int count = 1 + random_below(max_suspensions_in_series);
+    for (int done = 0; done < count; ++done) {
+      start += std::chrono::milliseconds(random_below(max_pause_in_series_ms));
+      call_after(loop_, start, [this, index] {
+        if (paused_ != index && !faults_ended_) {
+          suspend(index);
+        }
+      });
+      start += random_time_around(random_, gateway_timeouts_ms);
+      call_after(loop_, start, [this, index] {
+        if (paused_ != index) {
+          resume(index);
+        }
+      });
+    }
+  }
+
+  void toggle_engine_faults() {
+    constexpr int calm_share = 10;
+    if (random_below(calm_share) == 0) {
+      log_.note("engines: no faults");
+      for (const auto& each : engines_) {
+        each->clear_faults();
+      }
+      return;
+    }
+    for (int toggled = 0; toggled < 2; ++toggled) {
+      soak_engine& engine = *engines_[random_below(decode_engine_count + 1)];
+      const engine_fault fault{random_below(engine_fault_count)};
+      const bool started = engine.toggle(fault);
+      log_.note(fmt::format("{} {}: {}", engine.id(), to_text(fault),
+                            started ? "on" : "off"));
+    }
+  }
+
+  const generation_book::generation& send_generation(int gateway) {
+    return generations_.send(gateway, address(gateway, callers_),
+                             random_traffic_below(2) == 0);
+  }
+
   // Makes a server leave, or the leaving one return under another id: at most
   // one leaves at a time.
   void change_leaving(service_server& in) {
@@ -262,7 +409,8 @@
       return;
     }
     disk_wiped_ = true;
-    children_[index]->kill();
+    log_.note("wipe the disk of " + name(index));
+    kill(index);
     std::filesystem::remove_all(data(index));
     start(index, false);
   }
@@ -297,7 +445,7 @@
     ++sent_by_caller.runs;
     BOOST_TEST(find_header(request.headers, "Citronwharf-Tenant") == "t1");
     BOOST_TEST(find_header(request.headers, "Authorization").empty());
-    if (drops_responses_ && random_below(4) == 0) {
+    if (drops_responses_ && random_traffic_below(4) == 0) {
       return;  // destroying the exchange closes the connection
     }
     std::vector<header_field> headers{
@@ -329,7 +477,8 @@
 
   // The response doesn't matter; the gateway must not crash.
   void send_with_withdrawn_key() {
-    http_call_options options{address(random_below(gateway_count), callers_)};
+    http_call_options options{
+        address(random_traffic_below(gateway_count), callers_)};
     options.connect_timeout = milliseconds(300);
     options.idle_timeout = milliseconds(1200);
     withdrawn_key_calls_.push_back(
@@ -360,11 +509,33 @@
                   {"timeoutMs", 1500},    {"goalMs", 150},
                   {"service", "desk"},    {"attempts", 2}};
     };
+    const auto stream = [](const char* prefix, bool resumable) {
+      return json{{"name", prefix},
+                  {"host", "a.example"},
+                  {"pathPrefix", prefix},
+                  {"kind", "stream"},
+                  {"timeoutMs", generation_deadline.count()},
+                  {"goalMs", 500},
+                  {"service", "models"},
+                  {"attempts", 2},
+                  {"resumable", resumable},
+                  {"gapTargetMs", 300}};
+    };
     const json state{{"version", version},
-                     {"routes", {route("/c/", "unsafe"), route("/l/", "safe")}},
-                     {"services", {{{"name", "desk"}}}},
+                     {"routes",
+                      {route("/c/", "unsafe"), route("/l/", "safe"),
+                       stream("/s/", false), stream("/r/", true)}},
+                     {"services",
+                      {{{"name", "desk"}},
+                       {{"name", "models"},
+                        {"engine",
+                         {{"slots", 64},
+                          {"kvTokens", 200000},
+                          {"handleS", 0.5},
+                          {"holdMs", 2000}}}}}},
                      {"tenants", tenants(version)}};
-    http_call_options options{address(random_below(gateway_count), operators_)};
+    http_call_options options{
+        address(random_traffic_below(gateway_count), operators_)};
     options.connect_timeout = milliseconds(300);
     options.idle_timeout = milliseconds(1200);
     publishing_ =
@@ -381,7 +552,7 @@
     const std::string id = fmt::format("q{}", ++last_id_);
     sent_request& sent_by_caller = requests_[id];
     sent_by_caller.once = path == "/c/";
-    sent_by_caller.gateway = random_below(gateway_count);
+    sent_by_caller.gateway = random_traffic_below(gateway_count);
     sent_by_caller.sent = steady::now();
     http_call_options options{address(sent_by_caller.gateway, callers_)};
     options.connect_timeout = milliseconds(300);
@@ -406,9 +577,14 @@
   }
 
   void recover() {
-    if (paused_) {
-      children_[*paused_]->send_signal(SIGCONT);
-      paused_.reset();
+    log_.note("faults end");
+    faults_ended_ = steady::now();
+    paused_.reset();
+    for (int index = 0; index < gateway_count; ++index) {
+      resume(index);
+    }
+    for (const auto& each : engines_) {
+      each->clear_faults();
     }
     drops_responses_ = false;
     for (const auto& each : servers_) {
@@ -429,11 +605,56 @@
         },
         std::chrono::seconds(10)));
     // Each gateway must serve again.
+    log_.check(run_until(loop_,
+                         [&] {
+                           restart_drained();
+                           generations_.check_deadlines();
+                           return !draining_ && suspended_.empty() &&
+                                  generations_.all_ended();
+                         }),
+               "generations don't end");
+    recover_generations();
     for (int index = 0; index < gateway_count; ++index) {
       BOOST_TEST(run_until(loop_, [&] { return read_version(index) > 0; }));
     }
   }
 
+  // Sends generations to all gateways in rounds. Within the recovery span all
+  // of some rounds in a row must be served.
+  void recover_generations() {
+    constexpr std::chrono::milliseconds pause(200);
+    constexpr int rounds_in_a_row = 3;
+    const auto limit = *faults_ended_ + recovery_span;
+    int served_rounds = 0;
+    int sent = 0;
+    while (served_rounds < rounds_in_a_row && steady::now() < limit) {
+      sent = generations_.sent();
+      served_rounds = serve_round() ? served_rounds + 1 : 0;
+      log_.note(fmt::format("rounds served: {}", served_rounds));
+      run_loop_for(pause);
+    }
+    if (served_rounds < rounds_in_a_row) {
+      generations_.check_served(sent + 1);
+    }
+  }
+
+  // Returns whether all generations were served.
+  bool serve_round() {
+    const int unserved = generations_.sent() - generations_.served();
+    for (int index = 0; index < gateway_count; ++index) {
+      for (int count = 0; count < 4; ++count) {
+        send_generation(index);
+      }
+    }
+    run_until(loop_, [&] { return generations_.all_ended(); });
+    return generations_.sent() - generations_.served() == unserved;
+  }
+
+  void run_loop_for(std::chrono::milliseconds span) {
+    loop_.restart();
+    loop_.run_for(span);
+  }
+
   int read_version(int index) {
     int version = -1;
     http_call_options options{address(index, operators_)};
@@ -467,18 +688,71 @@
     }
     BOOST_TEST(served * 4 >= static_cast<int>(requests_.size()));
     BOOST_TEST_MESSAGE(served << " of " << requests_.size() << " served");
+    BOOST_TEST_MESSAGE(generations_.served() << " of " << generations_.sent()
+                                             << " generations served");
+  }
+
+  void print_failures() {
+    if (!log_.failed()) {
+      return;
+    }
+    for (const std::string& line : log_.lines()) {
+      std::cout << line << '\n';
+    }
+    const auto trails =
+        generations_.failed_trails([this](int gateway, const std::string& id) {
+          std::vector<std::string> out;
+          std::ifstream file(log_file(gateway));
+          for (std::string line; std::getline(file, line);) {
+            if (line.find('"' + id + '"') != std::string::npos) {
+              out.push_back(line);
+            }
+          }
+          return out;
+        });
+    for (const std::string& line : trails) {
+      std::cout << line << '\n';
+    }
+    for (const int index : ended_) {
+      print_last_lines(log_file(index));
+    }
+  }
+
+  static void print_last_lines(const std::string& path) {
+    constexpr std::size_t count = 20;
+    std::deque<std::string> lines;
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+      lines.push_back(line);
+      if (lines.size() > count) {
+        lines.pop_front();
+      }
+    }
+    for (const std::string& line : lines) {
+      std::cout << path << ": " << line << '\n';
+    }
   }
 
   std::mt19937_64 random_;
+  std::mt19937_64 traffic_random_;
   boost::asio::io_context loop_;
   test_folder folder_;
   fake_server directory_server_{loop_};
+  soak_log log_;
+  std::vector<gateway_times> gateway_times_{gateway_count};
+  generation_book generations_{loop_, log_, gateway_times_};
   std::vector<std::unique_ptr<service_server>> servers_;
+  std::vector<std::unique_ptr<soak_engine>> engines_;
   const std::uint16_t callers_ = free_port();
   const std::uint16_t peers_ = free_port();
   const std::uint16_t operators_ = free_port();
   std::map<int, std::optional<child_process>> children_;
   std::optional<int> paused_;
+  std::set<int> suspended_;
+  std::set<int> ended_;  // by themselves
+  std::optional<steady::time_point> faults_ended_;
+  std::optional<int> draining_;
+  steady::time_point drain_until_;
   bool disk_wiped_ = false;
   bool drops_responses_ = false;
   int version_ = 0;
@@ -498,9 +772,11 @@
 
 }  // namespace
 
+// 11, 14: a hold that was answered while its gateway was suspended timed out
+// nonetheless, so that a stream was sent to two engines or ran after a refusal.
 BOOST_AUTO_TEST_CASE(guarantees_hold_under_external_faults) {
   std::istringstream seeds(
-      environment_variable_or("CITRONWHARF_SOAK_SEEDS", "1 2"));
+      environment_variable_or("CITRONWHARF_SOAK_SEEDS", "1 2 11 14"));
   const std::chrono::seconds length(
       std::stoi(environment_variable_or("CITRONWHARF_SOAK_SECONDS", "8")));
   for (std::uint64_t seed = 0; seeds >> seed;) {
--- a/test/processes.cc
+++ b/test/processes.cc
@@ -92,6 +92,8 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    log_file_mode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the child inherits stays open when the test closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   if (posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(),
                   environ) != 0) {
     pid_ = 0;
