--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -97,10 +97,16 @@
   }
 
   void run(std::chrono::seconds length) {
-    BOOST_REQUIRE(run_until(loop_, [&] {
+    const bool started = run_until(loop_, [&] {
       publish();
       return acknowledged_ > 0;
-    }));
+    });
+    if (!started) {
+      for (int index = 0; index < gateway_count; ++index) {
+        print_last_lines(log_file(index));
+      }
+    }
+    BOOST_REQUIRE(started);
     const auto end = std::chrono::steady_clock::now() + length;
     while (std::chrono::steady_clock::now() < end) {
       inject_fault();
