Tests: free_port() draws below the ephemeral ports

Two of about 100 starts of the soak, three at a time, never formed their group: a gateway could not listen on the port that it was given. An outgoing connection can take a port from the ephemeral range between its release by free_port() and its use.

--- a/test/processes.cc
+++ b/test/processes.cc
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -149,10 +150,19 @@
 }
 
 std::uint16_t free_port() {
+  // Below the ephemeral ports, so that no outgoing connection takes the port
+  // before the caller does.
+  static std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<std::uint16_t> draw(10000, 32000);
   boost::asio::io_context loop;
-  boost::asio::ip::tcp::acceptor probe(loop,
-                                       {boost::asio::ip::address_v4::any(), 0});
-  return probe.local_endpoint().port();
+  boost::system::error_code error;
+  std::uint16_t port = 0;
+  do {
+    port = draw(random);
+    boost::asio::ip::tcp::acceptor probe(loop, boost::asio::ip::tcp::v4());
+    probe.bind({boost::asio::ip::address_v4::any(), port}, error);
+  } while (error);
+  return port;
 }
 
 std::uint16_t wait_for_port(const std::string& port_file,
