--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -428,11 +428,30 @@
         milliseconds(gap_timeout_objectives * route().gap_objective_ms));
   }
 
+  // Returns why an event does not continue the caller's stream, or "".
+  std::string find_fault(const stream_event& event) const {
+    if (!event.well_formed) {
+      return "malformed_event";
+    }
+    if (event.is_comment || !last_event_id_) {
+      return "";
+    }
+    // Only an event with an id shows that the engine resumes the stream.
+    if (!event.id && events_from_engine_ == 0) {
+      return fmt::format("event_without_id(after {})", *last_event_id_);
+    }
+    if (event.id && *event.id <= *last_event_id_) {
+      return fmt::format("event_out_of_order({} after {})", *event.id,
+                         *last_event_id_);
+    }
+    return "";
+  }
+
   // Returns whether the stream continues.
   bool relay_event(const stream_event& event) {
-    if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
-      add_to_trail(fmt::format("event_out_of_order({} after {})", *event.id,
-                               *last_event_id_));
+    const std::string fault = find_fault(event);
+    if (!fault.empty()) {
+      add_to_trail(fault);
       finish_attempt(server_result::failed);
       return false;
     }
@@ -442,6 +461,9 @@
       request().exchange->start_stream(context().codec.make_answer(head_));
     }
     request().exchange->write(event.bytes);
+    if (event.is_comment) {
+      return true;
+    }
     const time_point now = runtime_clock::now();
     if (events_++ == 0) {
       first_event_at_ = now;
@@ -470,11 +492,20 @@
     }
   }
 
+  // Precondition: the response of the current engine is complete. An engine
+  // that resumes a stream must send an event before it may end the stream: one
+  // that closes the connection at once looks the same as one with nothing left
+  // to send.
+  bool is_stream_complete() const {
+    return events_from_engine_ > 0 && !splitter_.has_partial_event();
+  }
+
   void on_response_end() {
     stop_silence_timer();
     if (response_started_) {
-      if (splitter_.has_partial_event() || events_ == 0) {
-        add_to_trail("ended_in_event");
+      if (!is_stream_complete()) {
+        add_to_trail(events_from_engine_ == 0 ? "ended_without_event"
+                                              : "ended_in_event");
         finish_attempt(server_result::failed);
         return;
       }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -94,6 +94,7 @@
   tcp::acceptor acceptor_;
   std::unordered_set<std::shared_ptr<connection>> connections_;
   bool closing_ = false;  // connections end after their next response
+  bool closed_ = false;
 };
 
 // One client connection, kept alive by pending handlers and by the server's set
@@ -126,6 +127,10 @@
     }
     phase_ = phase::closed;
     timer_.cancel();
+    if (delimited_by_close_) {
+      // Only a reset shows the client that the stream is incomplete.
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored_);
+    }
     socket_.close(ignored_);
     if (auto server = server_.lock()) {
       server->forget(shared_from_this());
@@ -165,6 +170,7 @@
   void await_request();
   void read_header();
   void read_body();
+  bool end_read(error_code error);
   void dispatch();
   void watch_for_disconnect();
   void refuse_request(const http_response& response);
@@ -187,9 +193,12 @@
   phase phase_ = phase::idle;
   std::uint64_t request_number_ = 0;
   bool keep_alive_ = true;
-  bool refused_ = false;          ///< the request was not read completely
-  bool response_queued_ = false;  ///< the complete response is queued
-  bool overflowed_ = false;       // the client reads too slowly
+  bool refused_ = false;             ///< the request was not read completely
+  bool chunked_allowed_ = true;      ///< the client knows chunked streams
+  bool delimited_by_close_ = false;  ///< the response, and it is incomplete
+  bool response_queued_ = false;     ///< the complete response is queued
+  bool overflowed_ = false;          ///< the client reads too slowly
+  bool reading_ = false;             ///< a pending read uses buffer_, parser_
   bool writing_ = false;
   bool watching_ = false;
   std::deque<std::string> queue_;
@@ -278,7 +287,7 @@
     close();
     return;
   }
-  start_timer(options_.idle_timeout, &connection::close);
+  start_timer(options_.idle_timeout, &connection::close_if_idle);
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](error_code error) {
                        if (error || self->phase_ != phase::idle) {
@@ -292,33 +301,40 @@
 void connection::read_header() {
   phase_ = phase::reading;
   start_timer(options_.read_timeout, &connection::read_expired);
+  reading_ = true;
   http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-        if (error) {
-          self->on_read_error(error);
-          return;
+        if (self->end_read(error)) {
+          self->read_body();
         }
-        self->read_body();
       });
 }
 
 void connection::read_body() {
+  reading_ = true;
   http::async_read(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-        if (error) {
-          self->on_read_error(error);
-          return;
+        if (self->end_read(error)) {
+          self->dispatch();
         }
-        self->dispatch();
       });
 }
 
-void connection::on_read_error(error_code error) {
-  if (phase_ != phase::reading) {
-    return;
+// Returns whether the read succeeded and its request is still wanted: it may
+// have been refused, or the connection closed, since the read began.
+bool connection::end_read(error_code error) {
+  reading_ = false;
+  if (phase_ == phase::lingering) {
+    linger();
+  } else if (phase_ == phase::reading && error) {
+    on_read_error(error);
   }
+  return phase_ == phase::reading && !error;
+}
+
+void connection::on_read_error(error_code error) {
   if (error == http::error::header_limit) {
     refuse_request(problem(431, "too-many-headers"));
   } else if (error == http::error::body_limit) {
@@ -351,6 +367,8 @@
   response_queued_ = false;
   const auto message = parser_->release();
   keep_alive_ = message.keep_alive();
+  constexpr unsigned http_1_1 = 11;
+  chunked_allowed_ = message.version() >= http_1_1;
   http_request request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -402,14 +420,17 @@
 
 void connection::start_stream(const http_response& head) {
   update_keep_alive();
+  delimited_by_close_ = !chunked_allowed_;
+  keep_alive_ = keep_alive_ && !delimited_by_close_;
   auto message = to_beast(head, keep_alive_);
   message.body().clear();
-  message.chunked(true);
+  message.chunked(!delimited_by_close_);
   queue(fmt::format("{}", fmt::streamed(message.base())));
 }
 
 void connection::write_chunk(const std::string& data) {
-  queue(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
+  queue(delimited_by_close_ ? data
+                            : fmt::format("{:x}\r\n{}\r\n", data.size(), data));
 }
 
 void connection::finish_stream() {
@@ -417,7 +438,7 @@
     return;
   }
   response_queued_ = true;
-  queue("0\r\n\r\n");
+  queue(delimited_by_close_ ? "" : "0\r\n\r\n");
 }
 
 void connection::queue(std::string bytes) {
@@ -468,6 +489,7 @@
 void connection::finish_response() {
   on_closed_ = nullptr;
   response_queued_ = false;
+  delimited_by_close_ = false;
   const auto server = server_.lock();
   if (!keep_alive_ || !server || !server->accepting()) {
     socket_.shutdown(tcp::socket::shutdown_send, ignored_);
@@ -495,6 +517,9 @@
 // Reads and discards remaining data. Closing a socket with unread data resets
 // the connection, and the client might not receive the refusal.
 void connection::linger() {
+  if (reading_) {
+    return;  // end_read() continues
+  }
   buffer_.clear();
   constexpr std::size_t read_buffer_bytes = 16U << 10U;
   socket_.async_read_some(
@@ -535,13 +560,13 @@
 void http_server::impl::accept() {
   acceptor_.async_accept(
       [self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (!self->acceptor_.is_open()) {
-          return;
-        }
-        if (!error) {
+        // A connection may have been accepted just before stop_accepting().
+        if (!error && !self->closed_) {
           self->add_connection(std::move(socket));
         }
-        self->accept();
+        if (self->acceptor_.is_open()) {
+          self->accept();
+        }
       });
 }
 
@@ -573,6 +598,7 @@
 }
 
 void http_server::impl::close() {
+  closed_ = true;
   error_code ignored;
   acceptor_.close(ignored);
   on_request_ = nullptr;
