Claims: a reply to an earlier incarnation of an entry grants nothing

Cause: control replies to a claim once its proposal has ended, up to five seconds later, to the process of that name. An entry that has restarted by then counts its messages from the start, so the reply to the first incarnation has the id of a claim of the second, which took "granted" for its own.

peer_hub::reply() sends to one incarnation only, as allowances at their home do already.

Ruled out by reading: replies that are sent while the request is handled, since a session that is replaced delivers nothing any more; grants of the placement scheduler, which drops a process with its session.

--- a/src/control/claim_service.cc
+++ b/src/control/claim_service.cc
@@ -13,10 +13,10 @@
     : process_(process), log_(log), now_(std::move(now)) {
   peer_hub& peers = process_.peers;
   peers.on<claim_request>([this](const peer_id& from, const auto& in) {
-    propose(from.name, in.id, to_command(claim_command{in, now_()}));
+    propose(from, in.id, to_command(claim_command{in, now_()}));
   });
   peers.on<claim_finish>([this](const peer_id& from, const auto& in) {
-    propose(from.name, in.id, to_command(finish_command{in, now_()}));
+    propose(from, in.id, to_command(finish_command{in, now_()}));
   });
   peers.on_session([this](const peer_id& peer, bool up) {
     if (up) {
@@ -41,7 +41,7 @@
   }
 }
 
-void claim_service::propose(const std::string& to, std::uint64_t id,
+void claim_service::propose(const peer_id& to, std::uint64_t id,
                             nlohmann::json command) {
   log_.propose(std::move(command),
                [this, to, id](const absl::StatusOr<proposal_result>& result) {
@@ -49,7 +49,7 @@
                });
 }
 
-void claim_service::send_reply(const std::string& to, std::uint64_t id,
+void claim_service::send_reply(const peer_id& to, std::uint64_t id,
                                const absl::StatusOr<proposal_result>& result) {
   claim_reply out;
   if (result.ok()) {
@@ -59,7 +59,7 @@
     out.leader = log_.status().leader;
   }
   out.id = id;
-  process_.peers.send(to, make_frame(out)).IgnoreError();
+  process_.peers.reply(to, make_frame(out)).IgnoreError();
 }
 
 claim_service::wall_clock system_wall_clock() {
--- a/src/control/claim_service.h
+++ b/src/control/claim_service.h
@@ -27,8 +27,8 @@
 
  private:
   void send_hello(const std::string& entry);
-  void propose(const std::string& to, std::uint64_t id, nlohmann::json command);
-  void send_reply(const std::string& to, std::uint64_t id,
+  void propose(const peer_id& to, std::uint64_t id, nlohmann::json command);
+  void send_reply(const peer_id& to, std::uint64_t id,
                   const absl::StatusOr<proposal_result>& result);
 
   process_context& process_;
--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -631,6 +631,12 @@
 absl::Status peer_hub::send(const std::string& name, const frame& out) {
   return impl_->send(name, out);
 }
+absl::Status peer_hub::reply(const peer_id& to, const frame& out) {
+  if (impl_->session_incarnation(to.name) != to.incarnation) {
+    return absl::UnavailableError(to.name + " has restarted");
+  }
+  return impl_->send(to.name, out);
+}
 std::uint64_t peer_hub::session_incarnation(const std::string& name) const {
   return impl_->session_incarnation(name);
 }
--- a/src/net/peer_hub.h
+++ b/src/net/peer_hub.h
@@ -74,6 +74,11 @@
   /// ResourceExhausted when the peer's queue is full. Ok does not guarantee
   /// delivery.
   absl::Status send(const std::string& name, const frame& out);
+  /// Queues a frame for one incarnation of a process. Returns Unavailable also
+  /// if another incarnation has the session. Replies that are not sent at once
+  /// need this: a restarted process counts its messages from the start, so the
+  /// reply could have the id of another message.
+  absl::Status reply(const peer_id& to, const frame& out);
 
   /// Returns the incarnation of the peer `name`, or 0 if no session to it is
   /// up.
