Scheduler: ended generations keep no engine busy

Callers were refused with "no_memory" while both decode engines were idle: the log shows placement_state with running 0, waiting 8 and held_tokens 0 of 100,000, and trails such as "engines(refused,leader,fresh,waiting=3, wait_ms=0)@342".

Cause: a prompt that its decode engine prefills books that engine for the predicted time (80 ms for 1,000 tokens at the initial speed). The booking stayed after the generation had ended, however soon. Retries of refused prompts are placed at once and book 80 ms each, so fresh requests of the next round waited for prefills that were over, and those beyond 340 ms were refused. How many depends on the timing of the rounds, not on the retry budget; gateway-retry-budget-test wants 288 of 320.

Now an engine that prefills for its own generations is free when the last of them has ended.

Ruled out: the retry budget, memory of the engines, slow holds (no hold_lost in the trails). Not changed: a prefill engine that refused a prompt, or was granted and not used for want of budget, stays booked for the predicted time.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -197,7 +197,14 @@
     add_stream_speed(state, static_cast<double>(in.output_tokens) /
                                 to_seconds(from_microseconds(in.span_us)));
   }
+  const lease ended = found->second;
   remove_lease(key);
+  const auto decode_engine = engines_.find(ended.engine);
+  // The prefills of all its generations are over, whatever was predicted.
+  if (ended.prefill_engine == ended.engine && decode_engine != engines_.end() &&
+      decode_engine->second.leases.empty()) {
+    decode_engine->second.prefill_busy_until = time_point{};
+  }
 }
 
 // Early samples weigh as much as later ones, so that the initial guess soon
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -443,6 +443,19 @@
   }
 }
 
+// Answers that end sooner than predicted must not make later prompts wait.
+BOOST_AUTO_TEST_CASE(prefills_of_ended_generations_do_not_keep_engines_busy) {
+  engine_scheduler scheduler = make_scheduler(0, 1);
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    scheduler.ask("g1", make_ask(id), start);
+    const placement_grant grant = single_grant(scheduler.decide(start));
+    BOOST_TEST((grant.outcome == placement_outcome::placed));
+    placement_release ended;
+    ended.id = id;
+    scheduler.release("g1", ended);
+  }
+}
+
 // An engine that is slower than predicted gets fewer prompts.
 BOOST_AUTO_TEST_CASE(slow_prefill_engines_get_fewer_prompts) {
   engine_scheduler scheduler = make_scheduler(2, 20);
