Forwarding: no promise that a request has not run unless a server states it

Callers of a route whose requests may run once were given a server's own 408, 429 or 503 although the server did not state that nothing ran.

Cause: the answer was delivered as it was, whatever its status. It is now treated like any other unknown outcome: 502 of the gateway's own, without the stamp of the server. Requests that may run again still get the server's answer.

gateway-promise-test: 18 checks failed in each of 3 runs before, all in the six cases without Citronwharf-Not-Run; it passes in 3 of 3 runs after. The six cases that state it are told 503 before and after. The new rows of gateway-decisions-test failed before in three checks.

--- a/src/gateway/attempt_policy.cc
+++ b/src/gateway/attempt_policy.cc
@@ -9,6 +9,25 @@
   return !report.sent || (report.answered && report.not_run);
 }
 
+// Returns whether a status tells callers that the request has not run.
+bool promises_not_run(int status) {
+  constexpr int request_timeout = 408;
+  constexpr int misdirected = 421;
+  constexpr int too_many_requests = 429;
+  constexpr int unavailable = 503;
+  return status == request_timeout || status == misdirected ||
+         status == too_many_requests || status == unavailable;
+}
+
+// A server that does not state that nothing ran may have run the request,
+// whatever its status. The caller would send a request that may run once again.
+bool may_deliver(const attempt_report& report,
+                 const request_progress& progress) {
+  return report.answered && !report.not_run &&
+         (progress.repeat != repeatability::at_most_once ||
+          !promises_not_run(report.status));
+}
+
 bool may_retry(const attempt_report& report, const request_progress& progress) {
   if (progress.attempts >= max_attempts ||
       progress.time_left < min_retry_time) {
@@ -30,7 +49,7 @@
 
 attempt_decision decide_without_retry(const attempt_report& report,
                                       const request_progress& progress) {
-  if (report.answered && !report.not_run) {
+  if (may_deliver(report, progress)) {
     return attempt_decision::deliver;
   }
   return progress.possible_executions == 0 && !progress.may_be_running
@@ -40,9 +59,7 @@
 
 attempt_decision decide_after_attempt(const attempt_report& report,
                                       const request_progress& progress) {
-  const bool succeeded =
-      report.answered && !report.not_run && report.status < first_server_error;
-  if (succeeded) {
+  if (may_deliver(report, progress) && report.status < first_server_error) {
     return attempt_decision::deliver;
   }
   return may_retry(report, progress) ? attempt_decision::retry
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -144,6 +144,10 @@
   const attempt_report refused{true, true, true, 503};
   const attempt_report error{true, true, false, 500};
   const attempt_report good{true, true, false, 200};
+  // Responses that do not state that nothing ran.
+  const attempt_report full{true, true, false, 503};
+  const attempt_report too_many{true, true, false, 429};
+  const attempt_report too_late{true, true, false, 408};
   struct row {
     repeatability repeat = repeatability::at_most_once;
     attempt_report report;
@@ -162,6 +166,10 @@
       {kind::at_most_once, lost, 1, 1, attempt_decision::fail_unknown},
       {kind::at_most_once, error, 1, 1, attempt_decision::deliver},
       {kind::at_most_once, good, 1, 1, attempt_decision::deliver},
+      {kind::at_most_once, full, 1, 1, attempt_decision::fail_unknown},
+      {kind::at_most_once, too_many, 1, 1, attempt_decision::fail_unknown},
+      {kind::at_most_once, too_late, 1, 1, attempt_decision::fail_unknown},
+      {kind::idempotent, too_many, 1, 1, attempt_decision::deliver},
       {kind::idempotent, lost, 1, 1, attempt_decision::retry},
       {kind::idempotent, lost, 2, 2, attempt_decision::fail_unknown},
       {kind::idempotent, error, 1, 1, attempt_decision::retry},
