HTTP client: an interim response is not the response

A plain call through an endpoint ended with status 100 or 103 and no body if its service sent an interim response first; the response itself was dropped and the outcome stored as done.

Cause: the client of single calls took the first head for the final one.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -18,6 +18,9 @@
 
 namespace {
 
+// Limit on interim responses before the response.
+constexpr int max_interim_responses = 8;
+
 // The connection of one call. Pending handlers hold a reference to it until
 // they have run.
 class call_state : public std::enable_shared_from_this<call_state> {
@@ -28,8 +31,7 @@
         handlers_(std::move(handlers)),
         socket_(loop),
         timer_(loop) {
-    parser_.eager(false);
-    parser_.body_limit(options_.max_body_bytes);
+    start_response();
   }
 
   void start(const http_request& request) {
@@ -58,6 +60,12 @@
   }
 
  private:
+  void start_response() {
+    parser_.emplace();
+    parser_->eager(false);
+    parser_->body_limit(options_.max_body_bytes);
+  }
+
   void prepare(const http_request& request) {
     message_.version(11);
     message_.method_string(request.method);
@@ -109,7 +117,7 @@
     start_timer(options_.idle_timeout,
                 "no response data within the idle timeout");
     http::async_read_some(
-        socket_, buffer_, parser_,
+        socket_, buffer_, *parser_,
         [self = shared_from_this()](error_code error, std::size_t /*n*/) {
           self->on_read(error);
         });
@@ -120,9 +128,9 @@
       return;
     }
     // A response without a length ends when the server closes the connection.
-    if (error == http::error::end_of_stream && parser_.is_header_done() &&
-        parser_.need_eof()) {
-      parser_.put_eof(error);
+    if (error == http::error::end_of_stream && parser_->is_header_done() &&
+        parser_->need_eof()) {
+      parser_->put_eof(error);
     }
     if (error) {
       fail(absl::UnavailableError("read: " + error.message()));
@@ -134,14 +142,25 @@
   void deliver() {
     // Keeps this object alive if a handler destroys the call.
     const auto self = shared_from_this();
-    if (parser_.is_header_done() && !head_delivered_) {
+    constexpr unsigned first_final_status = 200;
+    if (parser_->is_header_done() &&
+        parser_->get().result_int() < first_final_status) {
+      if (++interim_responses_ > max_interim_responses) {
+        fail(absl::UnavailableError("too many interim responses"));
+      } else {
+        start_response();
+        read();
+      }
+      return;
+    }
+    if (parser_->is_header_done() && !head_delivered_) {
       head_delivered_ = true;
       const http_response head = read_head();
       if (handlers_.on_head) {
         handlers_.on_head(head);
       }
     }
-    std::string& body = parser_.get().body();
+    std::string& body = parser_->get().body();
     if (!ended_ && !body.empty()) {
       const std::string part = std::move(body);
       body.clear();
@@ -152,7 +171,7 @@
     if (ended_) {
       return;
     }
-    if (!parser_.is_done()) {
+    if (!parser_->is_done()) {
       read();
       return;
     }
@@ -165,8 +184,8 @@
 
   http_response read_head() {
     http_response head;
-    head.status = static_cast<int>(parser_.get().result_int());
-    for (const auto& field : parser_.get()) {
+    head.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
       head.headers.push_back(
           {std::string(field.name_string()), std::string(field.value())});
     }
@@ -201,7 +220,8 @@
   runtime_timer timer_;
   http::request<http::string_body> message_;
   beast::flat_buffer buffer_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  int interim_responses_ = 0;
   bool sent_ = false;
   bool head_delivered_ = false;
   bool ended_ = false;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -14,6 +14,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "raw_client.h"
+#include "raw_server.h"
 #include "run-until.h"
 
 using namespace citronwharf;  // NOLINT(google-build-using-namespace)
@@ -462,6 +463,29 @@
   BOOST_TEST(!sent);
 }
 
+BOOST_AUTO_TEST_CASE(interim_response_is_not_taken_for_the_response) {
+  const std::string early_hints = "HTTP/1.1 103 -\r\nLink: </a>\r\n\r\n";
+  boost::asio::io_context loop;
+  test::raw_server server(
+      loop, [&](const std::string& /*request*/,
+                const std::shared_ptr<test::raw_connection>& caller) {
+        caller->write("HTTP/1.1 100 -\r\n\r\n" + early_hints +
+                      test::raw_reply("X-Final: 1\r\n", "done"));
+      });
+  absl::StatusOr<http_response> got = absl::UnknownError("no response");
+  bool ended = false;
+  const auto call = fetch(loop, {server.address()}, {"GET", "/", {}, "", ""},
+                          [&](absl::StatusOr<http_response> response, bool) {
+                            got = std::move(response);
+                            ended = true;
+                          });
+  BOOST_REQUIRE(test::run_until(loop, [&] { return ended; }));
+  BOOST_REQUIRE(got.ok());
+  BOOST_TEST(got->status == 200);
+  BOOST_TEST(got->body == "done");
+  BOOST_TEST(find_header(got->headers, "Link").empty());
+}
+
 BOOST_AUTO_TEST_CASE(stream_parts_are_delivered_before_the_end) {
   boost::asio::io_context loop;
   std::unique_ptr<http_exchange> open;
