Events: a field of a response head is no field of an event

An event cut in a field and followed by the rest of a head was relayed to the caller (MIXED).

A name with a hyphen and a capital is one of a response head. Fields of events are one word (id, data, event, retry) of any case, or are in lower case, as the version line of the engines is; these stay well-formed, which the test now checks too.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -1,6 +1,7 @@
 #include "gateway/event_splitter.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
@@ -11,8 +12,15 @@
 namespace citronwharf {
 namespace {
 
+// Returns whether this is a name as those of response heads are written. The
+// fields of events have one word, or are in lower case.
+bool is_head_field_name(absl::string_view text) {
+  return absl::StrContains(text, '-') &&
+         std::any_of(text.begin(), text.end(), absl::ascii_isupper);
+}
+
 bool is_field_name(absl::string_view text) {
-  return !text.empty() &&
+  return !text.empty() && !is_head_field_name(text) &&
          std::all_of(text.begin(), text.end(), [](unsigned char each) {
            return absl::ascii_isalnum(each) || each == '-' || each == '_' ||
                   each == '.';
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -644,6 +644,10 @@
   BOOST_TEST(*events[3].id == 3);
   BOOST_TEST(events[4].well_formed);
   BOOST_TEST(events[4].is_comment);
+  // Fields of any case, one of them without a colon.
+  events = splitter.feed("EVENT: e\nData\nRetry: 5\n\n");
+  BOOST_REQUIRE(events.size() == 1U);
+  BOOST_TEST(events[0].well_formed);
 }
 
 // Load: a failing engine sends bytes without a complete event until the
