Allowances: gateways' own parts grant what accrues, however long a silence is

Callers saw: an organisation over its limit got up to 1.51 of rate and burst in a window of 8 s of the model, where 1.198 are allowed.

Now a part that can't hold a request stays near its limit for as long as that goes on. It draws once for each request that goes ahead and stays behind afterwards, so its sum differs from what accrued by less than one request. What parts granted before an election is charged against the share of the burst that a new leader starts with.

--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -29,6 +29,8 @@
 // Upper bound of computed waits. A request that needs more than the whole burst
 // waits for a full bucket.
 constexpr duration max_accrual_wait = seconds(5);
+// What take_own_part() returns at least if it grants nothing.
+constexpr duration min_accrual_wait = milliseconds(1);
 
 }  // namespace
 
@@ -120,9 +122,12 @@
     const std::string& organisation, const allowance& limit, time_point now) {
   auto found = accounts_.find(organisation);
   if (found == accounts_.end()) {
-    reserving_bucket bucket(limit, limit.burst_tokens * initial_burst_share,
-                            leads_since_);
-    found = accounts_.emplace(organisation, account{bucket, {}, {}, {}}).first;
+    const double initial_tokens = limit.burst_tokens * initial_burst_share;
+    const reserving_bucket bucket(limit, initial_tokens, leads_since_);
+    found =
+        accounts_
+            .emplace(organisation, account{bucket, {}, {}, {}, initial_tokens})
+            .first;
   }
   reserving_bucket& bucket = found->second.bucket;
   if (!(bucket.limit() == limit)) {
@@ -244,10 +249,13 @@
 
 void fleet_allowance_leader::charge(const fleet_tokens_spent& in,
                                     const allowance& limit, time_point now) {
-  if (now - from_microseconds(in.age_us) >= leads_since_) {
-    find_or_add_account(in.organisation, limit, now)
-        .bucket.take(in.tokens, duration::max(), now);
+  account& owner = find_or_add_account(in.organisation, limit, now);
+  double charged = in.tokens;
+  if (now - from_microseconds(in.age_us) < leads_since_) {
+    charged = std::min(charged, owner.initial_tokens);
+    owner.initial_tokens -= charged;
   }
+  owner.bucket.take(charged, duration::max(), now);
 }
 
 bool fleet_allowance_share::take_surplus(const std::string& organisation,
@@ -291,7 +299,7 @@
   last_scarce_at_[organisation] = now;
   const auto part = own_part_.find(organisation);
   if (part != own_part_.end()) {
-    part->second.discard_accrued(now);
+    part->second.bucket.discard_accrued(now);
   }
 }
 
@@ -321,34 +329,42 @@
   const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
   const allowance part =
       to_allowance(limit.tokens_per_second / parts, limit.burst_tokens / parts);
-  const bool scarce = is_scarce(organisation, now);
   auto found = own_part_.find(organisation);
   if (found == own_part_.end()) {
     const reserving_bucket new_bucket =
-        scarce ? reserving_bucket(part, 0, last_scarce_at_.at(organisation))
-               : reserving_bucket(part, part.burst_tokens, now);
-    found = own_part_.emplace(organisation, new_bucket).first;
+        is_scarce(organisation, now)
+            ? reserving_bucket(part, 0, last_scarce_at_.at(organisation))
+            : reserving_bucket(part, part.burst_tokens, now);
+    found = own_part_.emplace(organisation, own_part{new_bucket, {}, {}}).first;
   }
-  reserving_bucket& bucket = found->second;
-  if (!(bucket.limit() == part)) {
-    bucket.set_limit(part, now);
+  own_part& own = found->second;
+  const bool near_limit =
+      is_scarce(organisation, now) ||
+      (own.last_short_at && now - *own.last_short_at < scarcity_lifetime);
+  double burst = part.burst_tokens;
+  if (!own.needed_share) {
+    own.needed_share = draw;
+  } else if (near_limit) {
+    burst = std::max(burst, own.bucket.limit().burst_tokens);
   }
-  // A request may be larger than the burst of a part. If tokens are scarce, the
-  // part is spent, and the request is granted with a probability equal to the
-  // fraction of its tokens that the part held. Otherwise it needs a full part
-  // at most, and what it takes beyond that has to accrue before the next
-  // request.
-  const double needed = std::min(tokens, part.burst_tokens);
-  const double available_here = bucket.available(now);
-  if (scarce && available_here < tokens) {
-    bucket.discard_accrued(now);
-    if (draw * tokens >= available_here) {
-      return bucket.wait_until_accrued(needed, now);
-    }
-  } else if (available_here < needed) {
-    return bucket.wait_until_accrued(needed, now);
-  } else {
-    bucket.take(tokens, duration::max(), now);
+  // A request may be larger than the burst of a part. A full part suffices for
+  // it once; after that the part accrues up to what it needs.
+  const double needed = near_limit ? *own.needed_share * tokens
+                                   : std::min(tokens, part.burst_tokens);
+  own.bucket.set_limit(
+      to_allowance(part.tokens_per_second, std::max(burst, needed)), now);
+  const double available_here = own.bucket.available(now);
+  if (available_here < tokens) {
+    own.last_short_at = now;
+  }
+  if (available_here < needed) {
+    // Not zero, which a missing fraction of a token would round to.
+    return std::max(min_accrual_wait,
+                    own.bucket.wait_until_accrued(needed, now));
+  }
+  own.bucket.take(tokens, duration::max(), now);
+  if (available_here < tokens) {
+    own.needed_share.reset();
   }
   spending& spent = unreported_spending_[organisation];
   spent.tokens += tokens;
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -86,8 +86,9 @@
   /// Takes tokens back if this leader granted them; ignores grants of an
   /// earlier leader.
   void refund(const fleet_tokens_refund& in, time_point now);
-  /// Charges what a gateway granted from its own part since this process began
-  /// to lead. The organisation's account may become negative.
+  /// Charges what a gateway granted from its own part. The organisation's
+  /// account may become negative. Grants from before this process began to lead
+  /// only count against the part of the burst that the account started with.
   void charge(const fleet_tokens_spent& in, const allowance& limit,
               time_point now);
 
@@ -118,6 +119,9 @@
     // Refused callers were told to retry up to this time and then use what has
     // accrued.
     time_point retries_until{};
+    // Part of the burst that the account started with, less what gateways
+    // granted before.
+    double initial_tokens = 0;
 
     ask_queue& next_queue() { return small.asks.empty() ? large : small; }
     bool has_queued() const {
@@ -159,11 +163,12 @@
   /// while, so that not every request waits for a reply that doesn't come.
   bool should_ask_leader(time_point now) const { return now >= next_ask_at_; }
   /// Takes tokens from this gateway's own part of the allowance, for use while
-  /// the leader can't be asked. If tokens are scarce and the part holds only
-  /// some of those needed, `draw`, a random number from [0, 1), decides: the
-  /// request is granted with the probability of that fraction, so that over all
-  /// gateways the grants match the sum of the parts. Returns zero if the tokens
-  /// were taken, else the wait until they have accrued.
+  /// the leader can't be asked. The part may go ahead of its content by one
+  /// request. Near the limit it must first hold a random fraction of the
+  /// request, for which `draw` is a random number from [0, 1): so the grants of
+  /// all gateways match the sum of the parts, however large the requests are.
+  /// Returns zero if the tokens were taken, else the wait until they have
+  /// accrued.
   duration take_own_part(const std::string& organisation,
                          const allowance& limit, double tokens,
                          std::size_t processes, double draw, time_point now);
@@ -180,10 +185,18 @@
     double tokens = 0;
     time_point last_at;  // of the latest grant
   };
+  struct own_part {
+    reserving_bucket bucket;
+    // Fraction of a request that the part must hold near the limit. Drawn anew
+    // after each request that went ahead.
+    std::optional<double> needed_share;
+    // When a request last went ahead of the content or was not granted.
+    std::optional<time_point> last_short_at;
+  };
   bool is_scarce(const std::string& organisation, time_point now) const;
 
-  std::map<std::string, surplus> surplus_;            // by organisation
-  std::map<std::string, reserving_bucket> own_part_;  // by organisation
+  std::map<std::string, surplus> surplus_;    // by organisation
+  std::map<std::string, own_part> own_part_;  // by organisation
   // When the leader last reported an organisation as scarce.
   std::map<std::string, time_point> last_scarce_at_;
   std::map<std::string, spending> unreported_spending_;  // by organisation
