Tests: private members of scripted_servers end in an underscore

Renamed only: gateway-promise-test, -cut-head-test and -broken-stream-test pass, and lint passes for gateway-promise-test.cc.

--- a/test/scripted_servers.h
+++ b/test/scripted_servers.h
@@ -78,10 +78,10 @@
       }
       instances.push_back(std::move(entry));
     };
-    list("a", generates ? "decode" : "", first);
-    list("b", generates ? "decode" : "", second);
+    list("a", generates ? "decode" : "", first_);
+    list("b", generates ? "decode" : "", second_);
     if (cases.back().answer_prefill) {
-      list("p", "prefill", prefill_server);
+      list("p", "prefill", prefill_server_);
     }
     return cases.back();
   }
@@ -243,9 +243,9 @@
   }
 
   bool warmed_up_ = false;
-  raw_server first{loop, handler()};
-  raw_server second{loop, handler()};
-  raw_server prefill_server{loop, handler()};
+  raw_server first_{loop, handler()};
+  raw_server second_{loop, handler()};
+  raw_server prefill_server_{loop, handler()};
 };
 
 }  // namespace citronwharf::test
