Control: late replies go to the incarnation that asked

An operator could be told 'accepted' for another version (publish_reply), get the answer to another operator's request (admin_forward_reply), or an endpoint another turn (load_turn_reply). The replies go to one incarnation now.

Requests for tokens queue at the leader by process name, also over a restart of that process, so another organisation's request could take the grant: their ids start at random.

--- a/src/control/admin_forwarder.cc
+++ b/src/control/admin_forwarder.cc
@@ -51,15 +51,14 @@
 
 void admin_forwarder::handle_forward(const peer_id& from,
                                      const admin_forward& in) {
-  api_.handle({in.method, in.target, in.body},
-              [this, to = from.name, id = in.id](const admin_response& out) {
-                // If the response is lost, the sender reports an unknown
-                // outcome and retries under the same operation.
-                process_.peers
-                    .send(to, make_frame(admin_forward_reply{id, out.status,
-                                                             out.body.dump()}))
-                    .IgnoreError();
-              });
+  // If the response is lost, the sender reports an unknown outcome and retries
+  // under the same operation.
+  const auto respond = [this, to = from,
+                        id = in.id](const admin_response& out) {
+    const admin_forward_reply reply{id, out.status, out.body.dump()};
+    process_.peers.reply(to, make_frame(reply)).IgnoreError();
+  };
+  api_.handle({in.method, in.target, in.body}, respond);
 }
 
 void admin_forwarder::handle_reply(const peer_id& from,
--- a/src/control/document_cluster.cc
+++ b/src/control/document_cluster.cc
@@ -140,9 +140,9 @@
     }
     propose(
         in.version, in.text,
-        [this, to = from.name, id = in.id](const absl::Status& done) {
+        [this, to = from, id = in.id](const absl::Status& done) {
           const publish_reply out{id, done.ok(), std::string(done.message())};
-          process_.peers.send(to, make_frame(out)).IgnoreError();
+          process_.peers.reply(to, make_frame(out)).IgnoreError();
         });
   });
   peers.on<publish_reply>(
--- a/src/control/load_turn_service.cc
+++ b/src/control/load_turn_service.cc
@@ -50,11 +50,11 @@
   return log_.status().role == "leader";
 }
 
-void load_turn_service::send_reply(const std::string& to, std::uint64_t id,
+void load_turn_service::send_reply(const peer_id& to, std::uint64_t id,
                                    load_turn_reply message) {
   message.id = id;
   // Best effort: an endpoint that misses the reply asks again.
-  process_.peers.send(to, make_frame(message)).IgnoreError();
+  process_.peers.reply(to, make_frame(message)).IgnoreError();
 }
 
 void load_turn_service::handle_request(const peer_id& from,
@@ -75,11 +75,11 @@
                             command.at_ms, renew_below_ms)
           : turns_.matches_state(command);
   if (up_to_date || current_reply.outcome == load_turn_outcome::unknown) {
-    send_reply(from.name, request.id, current_reply);
+    send_reply(from, request.id, current_reply);
     return;
   }
   log_.propose(to_proposal(command),
-               [this, to = from.name,
+               [this, to = from,
                 id = request.id](const absl::StatusOr<proposal_result>& done) {
                  const auto answer =
                      done.ok() ? decode_value<load_turn_reply>(done->result)
--- a/src/control/load_turn_service.h
+++ b/src/control/load_turn_service.h
@@ -32,8 +32,7 @@
   void handle_done(const load_turn_done& done);
   void propose_pending_ends();
   void propose_end(const load_turn_done& done);
-  void send_reply(const std::string& to, std::uint64_t id,
-                  load_turn_reply message);
+  void send_reply(const peer_id& to, std::uint64_t id, load_turn_reply message);
   bool leads() const;
 
   process_context& process_;
--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -23,7 +23,8 @@
       random_(seed),
       limits_(std::move(limits)),
       check_timer_(loop),
-      queue_timer_(loop) {
+      queue_timer_(loop),
+      last_ask_(random_()) {
   peers_.on<fleet_tokens_ask>(
       [this, alive = alive_](const peer_id& from, const fleet_tokens_ask& in) {
         if (*alive) {
--- a/src/gateway/allowance_client.h
+++ b/src/gateway/allowance_client.h
@@ -91,7 +91,9 @@
   fleet_allowance_leader leader_accounts_;
   bool was_leading_ = false;
   fleet_allowance_share share_;
-  std::uint64_t last_ask_ = 0;
+  // Starts at random: the leader may reply to a queued request of an earlier
+  // incarnation of this process.
+  std::uint64_t last_ask_;
   std::map<std::uint64_t, pending_ask> pending_asks_;
   // Asked again at the next check: there was no leader, and the own part did
   // not suffice.
