Engine search: a stream under way asks a slow engine for memory again

Callers saw a resumable stream broken off 200 ms after its engine had failed, although another engine was there.

Cause, from the trails: "lost(...)@107 engines(v140-b,...)@124 hold_lost(v140-b, no answer in time)@338 no_server@347". The second engine did not answer the hold within 200 ms, so the search excluded it for good and ended for want of any other, with 650 ms of the time to resume left.

A search of a request that is under way now asks engines again that were excluded because a hold timed out, once no other engine is left and until its time is over. An engine that refuses connections stays excluded, and fresh requests are refused as before. Nothing is run twice: a hold runs nothing.

Ruled out: the budget (no no_budget in these trails), and the leader: the search ends the same with its grant and without.

--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -63,6 +63,7 @@
   hold_refusals_ = 0;
   polls_ = 0;
   full_engines_.clear();
+  silent_engines_.clear();
   ask_leader();
 }
 
@@ -187,6 +188,10 @@
     decode = servers.choose(make_need(engine_stage::none), now);
   }
   if (!decode || decode->server.stage == engine_stage::prefill) {
+    if (readmit_silent_engines()) {
+      wait_for_memory();
+      return;
+    }
     hooks_.add_to_trail("no_server");
     report_refused("no_server", std::nullopt);
     return;
@@ -235,7 +240,10 @@
     hooks_.add_to_trail(fmt::format("hold_lost({},{})", id,
                                     std::string(response.status().message())));
     observe(id, engine_signal::unreachable);
-    need_.ask.excluded.insert(id);
+    if (need_.ask.excluded.insert(id).second &&
+        absl::IsDeadlineExceeded(response.status())) {
+      silent_engines_.insert(id);
+    }
     handle_hold_refusal();
     return;
   }
@@ -282,6 +290,20 @@
   wait_for_memory();
 }
 
+// An engine that was slow to answer may answer the next hold. The caller of a
+// stream under way waits for longer than one hold. Returns whether an engine
+// may be asked again.
+bool engine_search::readmit_silent_engines() {
+  if (need_.ask.turn != placement_class::under_way || silent_engines_.empty()) {
+    return false;
+  }
+  for (const std::string& id : silent_engines_) {
+    need_.ask.excluded.erase(id);
+  }
+  silent_engines_.clear();
+  return true;
+}
+
 memory_queue& engine_search::queue() {
   return context_.memory_queues[need_.ask.service];
 }
--- a/src/gateway/engine_search.h
+++ b/src/gateway/engine_search.h
@@ -72,6 +72,7 @@
   void request_hold(const listed_server& server);
   void handle_hold_response(absl::StatusOr<http_response> response);
   void handle_hold_refusal();
+  bool readmit_silent_engines();
   void wait_for_memory();
   void poll_after(duration span);
   void leave_queue(bool with_memory);
@@ -94,6 +95,8 @@
   std::unique_ptr<http_call> hold_call_;
   listed_server hold_server_;           // last one asked for memory
   std::set<std::string> full_engines_;  // ids, in this round
+  // Ids of the engines that are excluded because a hold got no answer in time.
+  std::set<std::string> silent_engines_;
   int hold_refusals_ = 0;
   int polls_ = 0;
   std::optional<memory_queue::ticket> ticket_;
--- a/test/gateway-broken-stream-test.cc
+++ b/test/gateway-broken-stream-test.cc
@@ -204,3 +204,32 @@
     }
   }
 }
+
+BOOST_FIXTURE_TEST_CASE(stream_resumes_at_an_engine_that_answers_a_hold_late,
+                        scripted_servers) {
+  add_case(
+      {"lost hold", route_kind::resumable, [this](const scripted_request& in) {
+         in.from->write(chunked_head(in));
+         if (in.number > 1) {
+           in.from->write(chunk(events(2, events_of_stream)) + last_chunk);
+           return;
+         }
+         in.from->write(chunk(event(1)));
+         close_soon(in.from, false);
+       }});
+  int holds = 0;
+  answer_any_hold = [&](const scripted_request& in) {
+    if (++holds == 2) {
+      kept_open.push_back(in.from);
+      return;
+    }
+    in.from->write(raw_reply("", R"({"hold":"m1"})"));
+  };
+  run();
+  BOOST_TEST_CONTEXT(cases.back().log_line) {
+    BOOST_TEST(holds == 3);
+    BOOST_TEST(cases.back().requests == 2);
+    BOOST_TEST(cases.back().got.body == events(1, events_of_stream));
+    BOOST_TEST(cases.back().got.complete);
+  }
+}
