--- a/test/document_cluster-test.cc
+++ b/test/document_cluster-test.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 
+#include "cluster_node.h"
 #include "processes.h"
 #include "run-until.h"
 
@@ -19,50 +20,7 @@
 
 namespace {
 
-constexpr std::int64_t snapshot_entries = 8;
-
-// A process that publishes and follows, in the event loop of the test.
-class cluster_node {
- public:
-  cluster_node(boost::asio::io_context& loop, const std::string& name,
-               const std::string& folder, std::uint64_t incarnation)
-      : traces_(loop, tracer_options{}) {
-    options_.process = name;
-    options_.deployment = "test";
-    options_.data_folder = folder;
-    options_.control.snapshot_entries = snapshot_entries;
-    options_.control.keep_entries = 2;
-    options_.gateway.seeds = {"127.0.0.1:1"};
-    options_.gateway.first_start = true;
-    options_.gateway.tolerated_losses = 0;
-    peer_hub_options hub;
-    hub.self = {name, incarnation};
-    hub.deployment = options_.deployment;
-    hub.secret = std::string(32, 's');
-    peers_ = std::make_unique<peer_hub>(loop, hub);
-    options_.listen.peers =
-        fmt::format("127.0.0.1:{}", peers_->listen().value());
-    context_.emplace(process_context{loop, options_, incarnation, *peers_,
-                                     view_, metrics_, traces_});
-    cluster_.emplace(*context_, [this](const published_document& in) {
-      received_versions.push_back(in.version);
-    });
-    cluster_->start();
-  }
-
-  document_cluster& cluster() { return *cluster_; }
-
-  std::vector<std::uint64_t> received_versions;  // in order of receipt
-
- private:
-  settings options_;
-  configuration_view view_;
-  metric_registry metrics_;
-  tracer traces_;
-  std::unique_ptr<peer_hub> peers_;
-  std::optional<process_context> context_;
-  std::optional<document_cluster> cluster_;
-};
+constexpr std::int64_t snapshot_entries = cluster_node::snapshot_entries;
 
 struct cluster_fixture {
   void restart() {
