Trail: a line for tokens given back, and the first grant stays

Operators could not see from a request's trail that its tokens had gone back to the leader. A request that was filtered again after its grant also lost the line of the first grant, since the second overwrote it.

gateway-system-test and allowance-system-test pass. No test reads the new line, and no run has shown it yet.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -67,7 +67,14 @@
 }
 
 void refund_allowance(const forward_context& context,
-                      const admitted_request& request) {
+                      admitted_request& request) {
+  if (request.granted.by_leader && request.granted.tokens > 0) {
+    const duration elapsed = runtime_clock::now() - request.received;
+    request.trail +=
+        fmt::format("{}allowance_returned(tokens={})@{}",
+                    request.trail.empty() ? "" : " ", request.granted.tokens,
+                    std::chrono::duration_cast<milliseconds>(elapsed).count());
+  }
   context.refund(request.resolved.organisation(), request.granted);
 }
 
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -191,9 +191,10 @@
   bool finished_ = false;
 };
 
-/// Refunds the allowance of a request that never ran.
+/// Refunds the allowance of a request that never ran, and adds that to its
+/// trail if the leader granted it.
 void refund_allowance(const forward_context& context,
-                      const admitted_request& request);
+                      admitted_request& request);
 
 /// Sends the refusal of an admission filter to the caller and logs it.
 void send_refusal(forward_context& context, admitted_request& request,
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -373,9 +373,10 @@
 void gateway_role::on_allowance(const std::shared_ptr<admitted_request>& held,
                                 double tokens, const allowance_answer& answer) {
   --waiting_for_allowance_;
-  held->trail = fmt::format(
-      "allowance({},{},tokens={},waited_ms={},wait_ms={})",
-      answer.granted ? "granted" : "refused", answer.source, tokens,
+  held->trail += fmt::format(
+      "{}allowance({},{},tokens={},waited_ms={},wait_ms={})",
+      held->trail.empty() ? "" : " ", answer.granted ? "granted" : "refused",
+      answer.source, tokens,
       std::chrono::duration_cast<milliseconds>(answer.waited).count(),
       std::chrono::duration_cast<milliseconds>(answer.wait).count());
   if (!answer.granted) {
