Refuse deeply nested frames before they are decoded

A frame of nested arrays, maps or chunked strings overflowed the stack in nlohmann::json::from_cbor, which recurses once per level, and ended the process.

--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/cbor.h"
+
 namespace citronwharf {
 
 std::string encode_frame(const frame& in) {
@@ -14,8 +16,12 @@
 }
 
 absl::StatusOr<frame> decode_frame(const std::string& bytes) {
+  absl::StatusOr<nlohmann::json> decoded = parse_cbor(bytes);
+  if (!decoded.ok()) {
+    return decoded.status();
+  }
+  nlohmann::json& in = *decoded;
   try {
-    nlohmann::json in = nlohmann::json::from_cbor(bytes);
     if (in.at("v").get<int>() != protocol_version) {
       return absl::InvalidArgumentError("unsupported protocol version");
     }
--- a/test/frame-test.cc
+++ b/test/frame-test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "base/cbor.h"
 #include "control/log_check.h"
 #include "control/log_members.h"
 #include "wire/request_messages.h"
@@ -27,6 +28,31 @@
   BOOST_TEST(!decode_value<tokens_message>({{"offset", "x"}}).ok());
 }
 
+BOOST_AUTO_TEST_CASE(deeply_nested_frames_do_not_overflow_the_stack) {
+  constexpr std::size_t levels = 4U << 20U;
+  // One array, chunked array, map or chunked string inside another.
+  for (const char* opened : {"\x81", "\x9f", "\xa1\x61k", "\x7f", "\x5f"}) {
+    std::string bytes;
+    while (bytes.size() < levels) {
+      bytes += opened;
+    }
+    BOOST_TEST(!decode_frame(bytes).ok());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(frames_may_nest_up_to_the_limit) {
+  for (const std::size_t levels : {max_cbor_nesting - 1, max_cbor_nesting}) {
+    nlohmann::json body = 1;
+    for (std::size_t level = 0; level < levels; ++level) {
+      body = nlohmann::json::array({std::move(body), "", 2.5, nullptr, true});
+    }
+    // The frame is itself a level.
+    const auto read = decode_frame(encode_frame({"t", body}));
+    BOOST_TEST(read.ok() == (levels < max_cbor_nesting));
+    BOOST_TEST((!read.ok() || read->body == body));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(
     malformed_log_entries_are_detected_before_they_are_appended) {
   const std::string command{"\xa1\x64kind\x61k"};  // {"kind": "k"} in CBOR
