Refuse a hello that is not UTF-8

The proof is made over the hellos as JSON text, which nlohmann::json refuses to write with a string that is not UTF-8. The exception left the event loop: a peer without the secret could end the process by its first frame. The session is refused and logged instead.

a_hello_that_is_not_utf8_does_not_end_the_process failed before; peer-hub-test passes now.

--- a/src/net/handshake.cc
+++ b/src/net/handshake.cc
@@ -27,10 +27,15 @@
   return to_hex(bytes.data(), bytes.size());
 }
 
-session_proof make_proof(const std::string& secret, bool dialled,
-                         const session_hello& own, const session_hello& peer) {
-  const std::string text =
-      nlohmann::json{dialled ? "dialled" : "accepted", own, peer}.dump();
+absl::StatusOr<session_proof> make_proof(const std::string& secret,
+                                         bool dialled, const session_hello& own,
+                                         const session_hello& peer) {
+  std::string text;
+  try {
+    text = nlohmann::json{dialled ? "dialled" : "accepted", own, peer}.dump();
+  } catch (const nlohmann::json::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned size = 0;
   HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
--- a/src/net/handshake.h
+++ b/src/net/handshake.h
@@ -3,6 +3,8 @@
 #ifndef CITRONWHARF_NET_HANDSHAKE_H_
 #define CITRONWHARF_NET_HANDSHAKE_H_
 
+#include <absl/status/statusor.h>
+
 #include <string>
 
 #include "base/value.h"
@@ -36,9 +38,11 @@
 std::string make_nonce();
 
 /// Returns the proof of the end that sent the hello `own`. `dialled` tells the
-/// two ends apart, so that neither can replay the other's proof. Thread-safe.
-session_proof make_proof(const std::string& secret, bool dialled,
-                         const session_hello& own, const session_hello& peer);
+/// two ends apart, so that neither can replay the other's proof. Returns
+/// InvalidArgument if a hello is not UTF-8. Thread-safe.
+absl::StatusOr<session_proof> make_proof(const std::string& secret,
+                                         bool dialled, const session_hello& own,
+                                         const session_hello& peer);
 
 /// Compares two proofs in constant time. Thread-safe.
 bool same_proof(const session_proof& lhs, const session_proof& rhs);
--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -355,17 +355,21 @@
     refuse(from, "another process answers: " + from.peer.name);
     return;
   }
-  write(from, make_frame(make_proof(options_.secret, from.dialled, from.own,
-                                    from.peer)))
-      .IgnoreError();
+  const auto proof =
+      make_proof(options_.secret, from.dialled, from.own, from.peer);
+  if (!proof.ok()) {
+    refuse(from, std::string(proof.status().message()));
+    return;
+  }
+  write(from, make_frame(*proof)).IgnoreError();
 }
 
 void peer_hub::impl::received_proof(session& from, const frame& in) {
   const auto proof = decode_value<session_proof>(in.body);
   const auto expected =
       make_proof(options_.secret, !from.dialled, from.peer, from.own);
-  if (in.type != session_proof::type_name || !proof.ok() ||
-      !same_proof(*proof, expected)) {
+  if (in.type != session_proof::type_name || !proof.ok() || !expected.ok() ||
+      !same_proof(*proof, *expected)) {
     refuse(from, "wrong proof");
     return;
   }
--- a/test/peer-hub-test.cc
+++ b/test/peer-hub-test.cc
@@ -77,6 +77,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_hello_that_is_not_utf8_does_not_end_the_process) {
+  boost::asio::io_context loop;
+  node a(loop, "a");
+  node b(loop, "b\xff");
+  node c(loop, "c");
+  a.hub->connect_address(b.address());
+  b.hub->connect("a", a.address());
+  BOOST_TEST(!run_until(
+      loop, [&] { return !a.changes.empty() || !b.changes.empty(); },
+      std::chrono::seconds(1)));
+  a.hub->connect("c", c.address());
+  BOOST_TEST(
+      run_until(loop, [&] { return a.hub->session_incarnation("c") == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(dialling_from_both_ends_leaves_one_session) {
   boost::asio::io_context loop;
   node a(loop, "a");
