--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -29,7 +29,8 @@
 // Upper bound of computed waits. A request that needs more than the whole burst
 // waits for a full bucket.
 constexpr duration max_accrual_wait = seconds(5);
-// What take_own_part() returns at least if it grants nothing.
+// Lower bound of the wait for a part that does not suffice: zero means granted,
+// and a missing fraction of a token would round to it.
 constexpr duration min_accrual_wait = milliseconds(1);
 
 }  // namespace
@@ -358,7 +359,6 @@
     own.last_short_at = now;
   }
   if (available_here < needed) {
-    // Not zero, which a missing fraction of a token would round to.
     return std::max(min_accrual_wait,
                     own.bucket.wait_until_accrued(needed, now));
   }
