--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -46,14 +46,13 @@
           leader_accounts_.refund(in, runtime_clock::now());
         }
       });
-  peers_.on<fleet_tokens_spent>(
-      [this, alive = alive_](const peer_id& /*from*/,
-                             const fleet_tokens_spent& in) {
-        if (*alive && cluster_.leads()) {
-          leader_accounts_.charge(in, limits_(in.organisation),
-                                  runtime_clock::now());
-        }
-      });
+  peers_.on<fleet_tokens_spent>([this, alive = alive_](
+                                    const peer_id& /*from*/,
+                                    const fleet_tokens_spent& in) {
+    if (*alive && cluster_.leads()) {
+      leader_accounts_.charge(in, limits_(in.account), runtime_clock::now());
+    }
+  });
 }
 
 allowance_client::~allowance_client() {
@@ -73,7 +72,7 @@
     return out;
   }
   const fleet_tokens_reply out = leader_accounts_.ask(
-      process, in, limits_(in.organisation), runtime_clock::now());
+      process, in, limits_(in.account), runtime_clock::now());
   if (out.queued) {
     schedule_queue_replies();
   }
@@ -112,13 +111,13 @@
 }
 
 // Tokens from the own part are not returned: they are not worth a message.
-void allowance_client::return_tokens(const std::string& organisation,
+void allowance_client::return_tokens(const std::string& account,
                                      const allowance_grant& grant) {
   if (!grant.by_leader || grant.tokens <= 0) {
     return;
   }
   const time_point now = runtime_clock::now();
-  const fleet_tokens_refund out{organisation, grant.tokens,
+  const fleet_tokens_refund out{account, grant.tokens,
                                 to_microseconds(now - grant.at)};
   if (cluster_.leads()) {
     leader_accounts_.refund(out, now);
@@ -135,28 +134,28 @@
   const time_point now = runtime_clock::now();
   for (const fleet_tokens_spent& each : share_.take_spent(now)) {
     if (cluster_.leads()) {
-      leader_accounts_.charge(each, limits_(each.organisation), now);
+      leader_accounts_.charge(each, limits_(each.account), now);
     } else {
       peers_.send(cluster_.follower().leader(), make_frame(each)).IgnoreError();
     }
   }
 }
 
-void allowance_client::take(const std::string& organisation, double tokens,
+void allowance_client::take(const std::string& account, double tokens,
                             duration max_wait, decision_handler answer) {
   const time_point now = runtime_clock::now();
-  if (share_.take_surplus(organisation, tokens, now)) {
+  if (share_.take_surplus(account, tokens, now)) {
     answer({true, {}, {}, "surplus"});
     return;
   }
   ask_leader_or_decide(
-      {organisation, tokens, now, now + max_wait, {}, std::move(answer)});
+      {account, tokens, now, now + max_wait, {}, std::move(answer)});
 }
 
 void allowance_client::ask_leader_or_decide(pending_ask ask) {
   const time_point now = runtime_clock::now();
   const fleet_tokens_ask out{
-      ++last_ask_, ask.organisation, ask.tokens,
+      ++last_ask_, ask.account, ask.tokens,
       to_microseconds(std::max(duration{}, ask.wait_deadline - now))};
   ask.reply_deadline = now + reply_timeout;
   if (cluster_.leads()) {
@@ -180,7 +179,7 @@
     return;
   }
   const time_point now = runtime_clock::now();
-  share_.on_leader_reply(found->second.organisation, in, now);
+  share_.on_leader_reply(found->second.account, in, now);
   if (in.leads) {
     report_spent();
   }
@@ -197,7 +196,7 @@
     return;
   }
   if (in.surplus_tokens > 0) {
-    share_.add_surplus(ask.organisation, in.surplus_tokens, now);
+    share_.add_surplus(ask.account, in.surplus_tokens, now);
   }
   ask.answer({in.granted, now - ask.asked_at, from_microseconds(in.wait_us),
               "leader"});
@@ -206,7 +205,7 @@
 void allowance_client::decide_locally(pending_ask ask) {
   const time_point now = runtime_clock::now();
   const duration wait = share_.take_own_part(
-      ask.organisation, limits_(ask.organisation), ask.tokens,
+      ask.account, limits_(ask.account), ask.tokens,
       cluster_.follower().processes(),
       std::uniform_real_distribution<double>(0, 1)(random_), now);
   if (wait == duration{} || now >= ask.wait_deadline) {
--- a/src/gateway/allowance_client.h
+++ b/src/gateway/allowance_client.h
@@ -42,7 +42,7 @@
 class allowance_client {
  public:
   using decision_handler = std::function<void(const allowance_answer&)>;
-  /// Returns the limit of an organisation by its name.
+  /// Returns the limit of an account.
   using limit_lookup = std::function<allowance(const std::string&)>;
 
   allowance_client(boost::asio::io_context& loop, peer_hub& peers,
@@ -54,15 +54,14 @@
 
   /// Asks for tokens. The request may wait for up to `max_wait`, both for the
   /// tokens and for a leader. Calls `answer` once, possibly before returning.
-  void take(const std::string& organisation, double tokens, duration max_wait,
+  void take(const std::string& account, double tokens, duration max_wait,
             decision_handler answer);
   /// Returns to the leader the tokens of a request that never ran.
-  void return_tokens(const std::string& organisation,
-                     const allowance_grant& grant);
+  void return_tokens(const std::string& account, const allowance_grant& grant);
 
  private:
   struct pending_ask {
-    std::string organisation;
+    std::string account;
     double tokens = 0;
     time_point asked_at;
     time_point wait_deadline;   // for its tokens
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -120,15 +120,13 @@
 }
 
 fleet_allowance_leader::account& fleet_allowance_leader::find_or_add_account(
-    const std::string& organisation, const allowance& limit, time_point now) {
-  auto found = accounts_.find(organisation);
+    const std::string& name, const allowance& limit, time_point now) {
+  auto found = accounts_.find(name);
   if (found == accounts_.end()) {
     const double initial_tokens = limit.burst_tokens * initial_burst_share;
     const reserving_bucket bucket(limit, initial_tokens, leads_since_);
-    found =
-        accounts_
-            .emplace(organisation, account{bucket, {}, {}, {}, initial_tokens})
-            .first;
+    found = accounts_.emplace(name, account{bucket, {}, {}, {}, initial_tokens})
+                .first;
   }
   reserving_bucket& bucket = found->second.bucket;
   if (!(bucket.limit() == limit)) {
@@ -160,7 +158,7 @@
                                                const allowance& limit,
                                                time_point now) {
   const double burst = limit.burst_tokens;
-  account& owner = find_or_add_account(in.organisation, limit, now);
+  account& owner = find_or_add_account(in.account, limit, now);
   const double tokens = std::min(in.tokens, burst);
   const bool small = tokens <= burst * small_request_share;
   const bool at_head = small ? owner.small.asks.empty() : !owner.has_queued();
@@ -191,15 +189,15 @@
   out.wait_us = to_microseconds(wait);
   (small ? owner.small : owner.large)
       .push({process, in.id, tokens, now + allowed_wait});
-  organisations_with_queue_.insert(in.organisation);
+  accounts_with_queue_.insert(in.account);
   return out;
 }
 
 std::vector<fleet_tokens_decision> fleet_allowance_leader::decide(
     time_point now) {
   std::vector<fleet_tokens_decision> out;
-  for (auto name = organisations_with_queue_.begin();
-       name != organisations_with_queue_.end();) {
+  for (auto name = accounts_with_queue_.begin();
+       name != accounts_with_queue_.end();) {
     account& owner = accounts_.at(*name);
     while (owner.has_queued()) {
       ask_queue& queue = owner.next_queue();
@@ -219,8 +217,8 @@
       }
       out.push_back({queue.pop().process, reply});
     }
-    name = owner.has_queued() ? std::next(name)
-                              : organisations_with_queue_.erase(name);
+    name =
+        owner.has_queued() ? std::next(name) : accounts_with_queue_.erase(name);
   }
   return out;
 }
@@ -228,7 +226,7 @@
 std::optional<time_point> fleet_allowance_leader::next_decision(
     time_point now) {
   std::optional<time_point> out;
-  for (const std::string& name : organisations_with_queue_) {
+  for (const std::string& name : accounts_with_queue_) {
     account& owner = accounts_.at(name);
     const queued_ask& front = owner.next_queue().asks.front();
     const time_point due =
@@ -241,7 +239,7 @@
 
 void fleet_allowance_leader::refund(const fleet_tokens_refund& in,
                                     time_point now) {
-  const auto found = accounts_.find(in.organisation);
+  const auto found = accounts_.find(in.account);
   if (found != accounts_.end() &&
       now - from_microseconds(in.age_us) >= leads_since_) {
     found->second.bucket.put_back(in.tokens, now);
@@ -250,7 +248,7 @@
 
 void fleet_allowance_leader::charge(const fleet_tokens_spent& in,
                                     const allowance& limit, time_point now) {
-  account& owner = find_or_add_account(in.organisation, limit, now);
+  account& owner = find_or_add_account(in.account, limit, now);
   double charged = in.tokens;
   if (now - from_microseconds(in.age_us) < leads_since_) {
     charged = std::min(charged, owner.initial_tokens);
@@ -259,9 +257,9 @@
   owner.bucket.take(charged, duration::max(), now);
 }
 
-bool fleet_allowance_share::take_surplus(const std::string& organisation,
-                                         double tokens, time_point now) {
-  const auto found = surplus_.find(organisation);
+bool fleet_allowance_share::take_surplus(const std::string& name, double tokens,
+                                         time_point now) {
+  const auto found = surplus_.find(name);
   if (found == surplus_.end() || now >= found->second.expires_at ||
       found->second.tokens < tokens) {
     return false;
@@ -270,9 +268,9 @@
   return true;
 }
 
-void fleet_allowance_share::add_surplus(const std::string& organisation,
-                                        double tokens, time_point now) {
-  surplus& held = surplus_[organisation];
+void fleet_allowance_share::add_surplus(const std::string& name, double tokens,
+                                        time_point now) {
+  surplus& held = surplus_[name];
   if (now >= held.expires_at) {
     held.tokens = 0;
   }
@@ -286,7 +284,7 @@
 
 // Tokens that accrued until the leader's last reply were available for the
 // leader to grant, so they are removed from the own part.
-void fleet_allowance_share::on_leader_reply(const std::string& organisation,
+void fleet_allowance_share::on_leader_reply(const std::string& name,
                                             const fleet_tokens_reply& reply,
                                             time_point now) {
   next_ask_at_ = time_point{};
@@ -294,19 +292,19 @@
     return;
   }
   if (!reply.scarce) {
-    last_scarce_at_.erase(organisation);
+    last_scarce_at_.erase(name);
     return;
   }
-  last_scarce_at_[organisation] = now;
-  const auto part = own_part_.find(organisation);
+  last_scarce_at_[name] = now;
+  const auto part = own_part_.find(name);
   if (part != own_part_.end()) {
     part->second.bucket.discard_accrued(now);
   }
 }
 
-bool fleet_allowance_share::is_scarce(const std::string& organisation,
+bool fleet_allowance_share::is_scarce(const std::string& name,
                                       time_point now) const {
-  const auto found = last_scarce_at_.find(organisation);
+  const auto found = last_scarce_at_.find(name);
   return found != last_scarce_at_.end() &&
          now - found->second < scarcity_lifetime;
 }
@@ -314,15 +312,13 @@
 std::vector<fleet_tokens_spent> fleet_allowance_share::take_spent(
     time_point now) {
   std::vector<fleet_tokens_spent> out;
-  for (const auto& [organisation, each] :
-       std::exchange(unreported_spending_, {})) {
-    out.push_back(
-        {organisation, each.tokens, to_microseconds(now - each.last_at)});
+  for (const auto& [name, each] : std::exchange(unreported_spending_, {})) {
+    out.push_back({name, each.tokens, to_microseconds(now - each.last_at)});
   }
   return out;
 }
 
-duration fleet_allowance_share::take_own_part(const std::string& organisation,
+duration fleet_allowance_share::take_own_part(const std::string& name,
                                               const allowance& limit,
                                               double tokens,
                                               std::size_t processes,
@@ -330,17 +326,17 @@
   const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
   const allowance part =
       to_allowance(limit.tokens_per_second / parts, limit.burst_tokens / parts);
-  auto found = own_part_.find(organisation);
+  auto found = own_part_.find(name);
   if (found == own_part_.end()) {
     const reserving_bucket new_bucket =
-        is_scarce(organisation, now)
-            ? reserving_bucket(part, 0, last_scarce_at_.at(organisation))
+        is_scarce(name, now)
+            ? reserving_bucket(part, 0, last_scarce_at_.at(name))
             : reserving_bucket(part, part.burst_tokens, now);
-    found = own_part_.emplace(organisation, own_part{new_bucket, {}, {}}).first;
+    found = own_part_.emplace(name, own_part{new_bucket, {}, {}}).first;
   }
   own_part& own = found->second;
   const bool near_limit =
-      is_scarce(organisation, now) ||
+      is_scarce(name, now) ||
       (own.last_short_at && now - *own.last_short_at < scarcity_lifetime);
   double burst = part.burst_tokens;
   if (!own.needed_share) {
@@ -366,7 +362,7 @@
   if (available_here < tokens) {
     own.needed_share.reset();
   }
-  spending& spent = unreported_spending_[organisation];
+  spending& spent = unreported_spending_[name];
   spent.tokens += tokens;
   spent.last_at = now;
   return {};
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -73,7 +73,7 @@
   /// may have just granted the rest.
   void start_leading(time_point now) {
     accounts_.clear();
-    organisations_with_queue_.clear();
+    accounts_with_queue_.clear();
     leads_since_ = now;
   }
 
@@ -129,13 +129,13 @@
     }
   };
 
-  account& find_or_add_account(const std::string& organisation,
-                               const allowance& limit, time_point now);
+  account& find_or_add_account(const std::string& name, const allowance& limit,
+                               time_point now);
   static duration suggest_retry_wait(account& owner, double tokens,
                                      time_point now);
 
-  std::map<std::string, account> accounts_;  // by organisation
-  std::set<std::string> organisations_with_queue_;
+  std::map<std::string, account> accounts_;  // by account
+  std::set<std::string> accounts_with_queue_;
   time_point leads_since_{};
 };
 
@@ -150,15 +150,13 @@
  public:
   /// Takes tokens from the surplus that the leader granted. Returns false, and
   /// takes none, if it doesn't suffice.
-  bool take_surplus(const std::string& organisation, double tokens,
-                    time_point now);
-  void add_surplus(const std::string& organisation, double tokens,
-                   time_point now);
+  bool take_surplus(const std::string& name, double tokens, time_point now);
+  void add_surplus(const std::string& name, double tokens, time_point now);
   /// Records that the leader did not reply in time.
   void leader_silent(time_point now);
   /// Records the leader's reply to a request of an organisation.
-  void on_leader_reply(const std::string& organisation,
-                       const fleet_tokens_reply& reply, time_point now);
+  void on_leader_reply(const std::string& name, const fleet_tokens_reply& reply,
+                       time_point now);
   /// Returns whether to ask the leader. After a timeout it is not asked for a
   /// while, so that not every request waits for a reply that doesn't come.
   bool should_ask_leader(time_point now) const { return now >= next_ask_at_; }
@@ -169,9 +167,9 @@
   /// all gateways match the sum of the parts, however large the requests are.
   /// Returns zero if the tokens were taken, else the wait until they have
   /// accrued.
-  duration take_own_part(const std::string& organisation,
-                         const allowance& limit, double tokens,
-                         std::size_t processes, double draw, time_point now);
+  duration take_own_part(const std::string& name, const allowance& limit,
+                         double tokens, std::size_t processes, double draw,
+                         time_point now);
   /// Returns what was granted from the own part since the last call, to be
   /// reported to the leader.
   std::vector<fleet_tokens_spent> take_spent(time_point now);
@@ -193,13 +191,13 @@
     // When a request last went ahead of the content or was not granted.
     std::optional<time_point> last_short_at;
   };
-  bool is_scarce(const std::string& organisation, time_point now) const;
+  bool is_scarce(const std::string& name, time_point now) const;
 
-  std::map<std::string, surplus> surplus_;    // by organisation
-  std::map<std::string, own_part> own_part_;  // by organisation
+  std::map<std::string, surplus> surplus_;    // by account
+  std::map<std::string, own_part> own_part_;  // by account
   // When the leader last reported an organisation as scarce.
   std::map<std::string, time_point> last_scarce_at_;
-  std::map<std::string, spending> unreported_spending_;  // by organisation
+  std::map<std::string, spending> unreported_spending_;  // by account
   time_point next_ask_at_{};
 };
 
--- a/src/wire/document_messages.h
+++ b/src/wire/document_messages.h
@@ -83,34 +83,34 @@
 };
 CITRONWHARF_VALUE(group_join, replica, address)
 
-/// Gateway to leader: requests tokens of an organisation's allowance.
+/// Gateway to leader: requests tokens of an account.
 struct fleet_tokens_ask {
   static constexpr const char* type_name = "fleet_tokens_ask";
   std::uint64_t id = 0;
-  std::string organisation;
+  std::string account;
   double tokens = 0;
   std::int64_t max_wait_us = 0;  ///< limit of waiting for the tokens
 };
-CITRONWHARF_VALUE(fleet_tokens_ask, id, organisation, tokens, max_wait_us)
+CITRONWHARF_VALUE(fleet_tokens_ask, id, account, tokens, max_wait_us)
 
 /// Gateway to leader: returns the tokens granted to a request that never ran.
 struct fleet_tokens_refund {
   static constexpr const char* type_name = "fleet_tokens_refund";
-  std::string organisation;
+  std::string account;
   double tokens = 0;
   std::int64_t age_us = 0;  ///< since the grant
 };
-CITRONWHARF_VALUE(fleet_tokens_refund, organisation, tokens, age_us)
+CITRONWHARF_VALUE(fleet_tokens_refund, account, tokens, age_us)
 
 /// Gateway to leader: reports the tokens that the gateway granted on its own
 /// while it could not reach the leader.
 struct fleet_tokens_spent {
   static constexpr const char* type_name = "fleet_tokens_spent";
-  std::string organisation;
+  std::string account;
   double tokens = 0;
   std::int64_t age_us = 0;  ///< since the last of these grants
 };
-CITRONWHARF_VALUE(fleet_tokens_spent, organisation, tokens, age_us)
+CITRONWHARF_VALUE(fleet_tokens_spent, account, tokens, age_us)
 
 struct fleet_tokens_reply {
   static constexpr const char* type_name = "fleet_tokens_reply";
@@ -118,7 +118,7 @@
   bool granted = false;
   bool queued = false;        ///< another reply follows within wait_us
   bool leads = false;         ///< sent by the leader; if false, ask the leader
-  bool scarce = false;        ///< the organisation is near its limit
+  bool scarce = false;        ///< the account is near its limit
   double surplus_tokens = 0;  ///< granted in addition to the tokens asked for
   /// If queued: time until the grant. If refused: time until the caller may
   /// retry.
