--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -46,27 +46,46 @@
           leader_accounts_.refund(in, runtime_clock::now());
         }
       });
-  peers_.on<fleet_tokens_spent>([this, alive = alive_](
-                                    const peer_id& /*from*/,
-                                    const fleet_tokens_spent& in) {
-    if (*alive && cluster_.leads()) {
-      leader_accounts_.charge(in, limits_(in.account), runtime_clock::now());
-    }
-  });
+  peers_.on<fleet_tokens_spent>(
+      [this, alive = alive_](const peer_id& /*from*/,
+                             const fleet_tokens_spent& in) {
+        if (*alive && cluster_.leads()) {
+          leader_accounts_.charge(in, limits_(in.account).limit,
+                                  runtime_clock::now());
+        }
+      });
 }
 
 allowance_client::~allowance_client() {
   *alive_ = false;
 }
 
-fleet_tokens_reply allowance_client::answer_ask(const std::string& process,
-                                                const fleet_tokens_ask& in) {
+// Returns whether this process leads.
+bool allowance_client::update_leadership() {
   const bool leads = cluster_.leads();
   if (leads && !was_leading_) {
     leader_accounts_.start_leading(runtime_clock::now());
   }
   was_leading_ = leads;
-  if (!leads) {
+  return leads;
+}
+
+bool allowance_client::has_tokens(const std::string& account, double tokens) {
+  update_leadership();
+  return leader_accounts_.has_tokens(account, tokens, limits_(account).limit,
+                                     runtime_clock::now());
+}
+
+void allowance_client::take_as_leader(const std::string& account,
+                                      double tokens) {
+  update_leadership();
+  leader_accounts_.take(account, tokens, limits_(account).limit,
+                        runtime_clock::now());
+}
+
+fleet_tokens_reply allowance_client::answer_ask(const std::string& process,
+                                                const fleet_tokens_ask& in) {
+  if (!update_leadership()) {
     fleet_tokens_reply out;
     out.id = in.id;
     return out;
@@ -134,7 +153,7 @@
   const time_point now = runtime_clock::now();
   for (const fleet_tokens_spent& each : share_.take_spent(now)) {
     if (cluster_.leads()) {
-      leader_accounts_.charge(each, limits_(each.account), now);
+      leader_accounts_.charge(each, limits_(each.account).limit, now);
     } else {
       peers_.send(cluster_.follower().leader(), make_frame(each)).IgnoreError();
     }
@@ -204,10 +223,15 @@
 
 void allowance_client::decide_locally(pending_ask ask) {
   const time_point now = runtime_clock::now();
-  const duration wait = share_.take_own_part(
-      ask.account, limits_(ask.account), ask.tokens,
-      cluster_.follower().processes(),
-      std::uniform_real_distribution<double>(0, 1)(random_), now);
+  const account_limit terms = limits_(ask.account);
+  const std::size_t processes = cluster_.follower().processes();
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  const duration wait =
+      terms.single_requests
+          ? share_.draw_own_part(ask.account, terms.limit, ask.tokens,
+                                 processes, draw, now)
+          : share_.take_own_part(ask.account, terms.limit, ask.tokens,
+                                 processes, draw, now);
   if (wait == duration{} || now >= ask.wait_deadline) {
     ask.answer(
         {wait == duration{}, now - ask.asked_at, wait, "own_part", false});
--- a/src/gateway/allowance_client.h
+++ b/src/gateway/allowance_client.h
@@ -1,4 +1,4 @@
-/// Takes tokens of organisations' allowances for a gateway. Keeps the accounts
+/// Takes tokens of the fleet's allowances for a gateway. Keeps the accounts
 /// for all gateways while this process is the leader.
 #ifndef CITRONWHARF_GATEWAY_ALLOWANCE_CLIENT_H_
 #define CITRONWHARF_GATEWAY_ALLOWANCE_CLIENT_H_
@@ -43,7 +43,7 @@
  public:
   using decision_handler = std::function<void(const allowance_answer&)>;
   /// Returns the limit of an account.
-  using limit_lookup = std::function<allowance(const std::string&)>;
+  using limit_lookup = std::function<account_limit(const std::string&)>;
 
   allowance_client(boost::asio::io_context& loop, peer_hub& peers,
                    document_cluster& cluster, std::uint64_t seed,
@@ -56,6 +56,12 @@
   /// tokens and for a leader. Calls `answer` once, possibly before returning.
   void take(const std::string& account, double tokens, duration max_wait,
             decision_handler answer);
+  /// Returns whether the account has these tokens now. Valid at the leader
+  /// only.
+  bool has_tokens(const std::string& account, double tokens);
+  /// Takes tokens for a request that this process places for the fleet. Valid
+  /// at the leader only.
+  void take_as_leader(const std::string& account, double tokens);
   /// Returns to the leader the tokens of a request that never ran.
   void return_tokens(const std::string& account, const allowance_grant& grant);
 
@@ -69,6 +75,7 @@
     decision_handler answer;
   };
 
+  bool update_leadership();
   fleet_tokens_reply answer_ask(const std::string& process,
                                 const fleet_tokens_ask& in);
   void on_reply(const fleet_tokens_reply& in);
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -80,6 +80,9 @@
   /// Back-off that the server requested: it accepts no requests of this process
   /// for this long.
   std::optional<duration> retry_after;
+  /// Requests a second that the server takes from all gateways together.
+  std::optional<double> limit;
+  bool names_limit = false;    ///< also if it can't be read
   std::string ignored_header;  ///< name and value of an invalid header
 };
 
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -13,6 +13,7 @@
 // Limit on the engines with free memory that are considered for prefill on the
 // decode engine.
 constexpr std::size_t max_engine_choices = 12;
+constexpr double requests_per_prompt = 1;
 
 granted_engine to_granted(const listed_server& in) {
   return {in.id, in.address, in.failure_domain};
@@ -103,7 +104,8 @@
   for (auto& [id, each] : engines_) {
     if (!serves_stage(each, ask, engine_stage::decode, now) ||
         now < each.full_until || !usable(each, now) ||
-        ask.excluded.count(id) != 0) {
+        ask.excluded.count(id) != 0 ||
+        !takes_requests(id, requests_per_generation)) {
       continue;
     }
     const auto slots =
@@ -201,7 +203,8 @@
   for (auto& [id, each] : engines_) {
     if (!serves_stage(each, ask, engine_stage::prefill, now) ||
         !usable(each, now) || each.export_ejection.holds(now) ||
-        now < each.exports_full_until || ask.excluded.count(id) != 0) {
+        now < each.exports_full_until || ask.excluded.count(id) != 0 ||
+        !takes_requests(id, requests_per_prompt)) {
       continue;
     }
     const duration queue = std::max(duration{}, each.prefill_busy_until - now);
@@ -303,6 +306,12 @@
   prefill_engine.prefill_busy_until =
       std::max(prefill_engine.prefill_busy_until, now) + prefill_time;
   decode->ejection_state.tried(options_.eject, now);
+  if (limits_.take_requests) {
+    limits_.take_requests(decode->listed.id, requests_per_generation);
+    if (prefill.chosen != nullptr) {
+      limits_.take_requests(prefill.chosen->listed.id, requests_per_prompt);
+    }
+  }
   const lease_key key{waiting.process, ask.id};
   remove_lease(key);
   leases_[key] = {ask.service,        decode->listed.id,
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -1,6 +1,7 @@
 #include "gateway/engine_scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace citronwharf {
 namespace {
@@ -37,8 +38,9 @@
 engine_scheduler::service::service()
     : fresh(fair_queue_options{}), returned(fair_queue_options{}) {}
 
-engine_scheduler::engine_scheduler(engine_scheduler_options options)
-    : options_(options) {}
+engine_scheduler::engine_scheduler(engine_scheduler_options options,
+                                   engine_limit_hooks limits)
+    : options_(options), limits_(std::move(limits)) {}
 
 void engine_scheduler::reset() {
   leases_.clear();
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -5,6 +5,7 @@
 #define CITRONWHARF_GATEWAY_ENGINE_SCHEDULER_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -63,6 +64,18 @@
   ejection_options eject;
 };
 
+/// Requests that an engine gets for a generation: to hold memory, and to run
+/// it.
+constexpr double requests_per_generation = 2;
+
+/// The limits that engines named, which the fleet shares. Both functions cost
+/// next to nothing for an engine without a limit.
+struct engine_limit_hooks {
+  /// Returns whether the engine takes these requests now.
+  std::function<bool(const std::string& engine, double requests)> has_requests;
+  std::function<void(const std::string& engine, double requests)> take_requests;
+};
+
 /// A grant and the gateway process that it is for.
 struct placement_decision {
   std::string process;
@@ -97,7 +110,9 @@
 /// thread-safe.
 class engine_scheduler {
  public:
-  explicit engine_scheduler(engine_scheduler_options options);
+  /// Without hooks no engine has a limit.
+  explicit engine_scheduler(engine_scheduler_options options,
+                            engine_limit_hooks limits = {});
 
   /// Clears everything except engines, profiles and measured speeds. For use
   /// when another process has led meanwhile.
@@ -215,6 +230,9 @@
   static bool serves_stage(const engine& candidate, const placement_ask& ask,
                            engine_stage stage, time_point now);
   static bool usable(const engine& candidate, time_point now);
+  bool takes_requests(const std::string& engine, double requests) const {
+    return !limits_.has_requests || limits_.has_requests(engine, requests);
+  }
   std::vector<engine*> engines_with_memory(const service& state,
                                            const placement_ask& ask,
                                            time_point now);
@@ -270,6 +288,7 @@
   void remove_lease(const lease_key& key);
 
   engine_scheduler_options options_;
+  engine_limit_hooks limits_;
   std::map<std::string, service> services_;
   std::map<std::string, engine> engines_;  // by id
   std::map<lease_key, lease> leases_;
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -68,6 +68,7 @@
 }
 
 void engine_search::cancel() {
+  ++number_;
   timer_.cancel();
   hold_call_.reset();
   leave_queue(false);
@@ -202,12 +203,38 @@
   need.preferred_domain = decode->server.failure_domain;
   const auto prefill = servers.choose(need, now);
   if (need_.ask.split && decode->server.stage == engine_stage::decode &&
-      prefill &&
+      prefill && !context_.limits.rate(prefill->server.id, now) &&
       std::max(prefill->in_flight, prefill->reported_load) <
           max_prefill_queue) {
     found_.prefill = prefill->server;
   }
-  request_hold(found_.decode);
+  take_requests_locally();
+}
+
+// The leader takes them for the engines that it grants.
+void engine_search::take_requests_locally() {
+  const std::string engine = found_.decode.id;
+  if (!context_.limits.rate(engine, runtime_clock::now())) {
+    request_hold(found_.decode);
+    return;
+  }
+  context_.take_server_requests(
+      engine, requests_per_generation, {},
+      [this, alive = alive_, engine, number = number_](bool granted,
+                                                       duration wait) {
+        if (!*alive || number != number_) {
+          return;
+        }
+        if (granted) {
+          request_hold(found_.decode);
+          return;
+        }
+        hooks_.add_to_trail(fmt::format("limited({},wait_ms={})", engine,
+                                        to_microseconds(wait) / 1000));
+        context_.servers.limit_reached(engine, wait, runtime_clock::now());
+        full_engines_.insert(engine);
+        try_other_engine();
+      });
 }
 
 void engine_search::request_hold(const listed_server& server) {
@@ -218,7 +245,8 @@
   }
   const milliseconds lifetime =
       std::min(milliseconds(need_.profile.max_hold_ms), hold_lifetime);
-  found_.hold_until = runtime_clock::now() + lifetime;
+  hold_sent_at_ = runtime_clock::now();
+  found_.hold_until = hold_sent_at_ + lifetime;
   hold_server_ = server;
   hold_call_ = context_.pool.fetch(
       request_forwarder::make_pooled_call(context_, server.address),
@@ -241,7 +269,8 @@
     handle_hold_loss(response.status(), engine_signal::unreachable);
     return;
   }
-  apply_server_headers(context_, id, *response);
+  apply_server_headers(context_, id, response_kind::memory, hold_sent_at_,
+                       *response);
   auto hold = response->status == status_ok
                   ? context_.codec.read_hold(response->body)
                   : absl::StatusOr<std::string>(
@@ -288,6 +317,10 @@
     return;
   }
   full_engines_.insert(hold_server_.id);
+  try_other_engine();
+}
+
+void engine_search::try_other_engine() {
   if (full_engines_.size() < max_holds_per_round &&
       context_.servers.choose(make_need(engine_stage::decode),
                               runtime_clock::now())) {
--- a/src/gateway/engine_search.h
+++ b/src/gateway/engine_search.h
@@ -72,6 +72,8 @@
   void ask_leader();
   void handle_grant(const placement_grant& in);
   void choose_locally();
+  void take_requests_locally();
+  void try_other_engine();
   void request_hold(const listed_server& server);
   void handle_hold_response(absl::StatusOr<http_response> response);
   void handle_hold_loss(const absl::Status& status, engine_signal signal);
@@ -97,13 +99,15 @@
   bool granted_ = false;                // by the leader
   found_engines found_;
   std::unique_ptr<http_call> hold_call_;
-  listed_server hold_server_;           // last one asked for memory
+  listed_server hold_server_;  // last one asked for memory
+  time_point hold_sent_at_{};
   std::set<std::string> full_engines_;  // ids, in this round
   // Ids of the engines that are excluded because a hold got no answer in time.
   std::set<std::string> silent_engines_;
   std::string reported_silent_;  // id of the last one, or ""
   int hold_refusals_ = 0;
   int polls_ = 0;
+  std::uint64_t number_ = 0;  // of searches; callbacks of earlier ones are void
   std::optional<memory_queue::ticket> ticket_;
   // Checked by handlers that may run after the search is destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -32,9 +32,38 @@
 // Lower bound of the wait for a part that does not suffice: zero means granted,
 // and a missing fraction of a token would round to it.
 constexpr duration min_accrual_wait = milliseconds(1);
+// Share of an account's rate that the gateways draw for without a leader. The
+// sum of their draws varies by chance.
+constexpr double drawn_share = 0.6;
+// Prefixes of the names of accounts.
+constexpr const char* organisation_prefix = "organisation:";
+constexpr const char* server_prefix = "server:";
+
+std::optional<std::string> remove_prefix(const std::string& account,
+                                         const std::string& prefix) {
+  return account.compare(0, prefix.size(), prefix) == 0
+             ? std::optional<std::string>(account.substr(prefix.size()))
+             : std::nullopt;
+}
 
 }  // namespace
 
+std::string organisation_account(const std::string& organisation) {
+  return organisation_prefix + organisation;
+}
+
+std::string server_account(const std::string& server) {
+  return server_prefix + server;
+}
+
+std::optional<std::string> find_organisation(const std::string& account) {
+  return remove_prefix(account, organisation_prefix);
+}
+
+std::optional<std::string> find_server(const std::string& account) {
+  return remove_prefix(account, server_prefix);
+}
+
 allowance to_allowance(double tokens_per_second, double burst_tokens) {
   allowance out;
   out.tokens_per_second = tokens_per_second;
@@ -155,10 +184,10 @@
 
 fleet_tokens_reply fleet_allowance_leader::ask(const std::string& process,
                                                const fleet_tokens_ask& in,
-                                               const allowance& limit,
+                                               const account_limit& terms,
                                                time_point now) {
-  const double burst = limit.burst_tokens;
-  account& owner = find_or_add_account(in.account, limit, now);
+  const double burst = terms.limit.burst_tokens;
+  account& owner = find_or_add_account(in.account, terms.limit, now);
   const double tokens = std::min(in.tokens, burst);
   const bool small = tokens <= burst * small_request_share;
   const bool at_head = small ? owner.small.asks.empty() : !owner.has_queued();
@@ -182,7 +211,8 @@
       owner.bucket.wait_until_accrued(tokens_ahead + tokens, now);
   const duration allowed_wait = from_microseconds(in.max_wait_us);
   if (wait > allowed_wait) {
-    out.wait_us = to_microseconds(suggest_retry_wait(owner, tokens, now));
+    out.wait_us = to_microseconds(
+        terms.single_requests ? wait : suggest_retry_wait(owner, tokens, now));
     return out;
   }
   out.queued = true;
@@ -237,6 +267,19 @@
   return out;
 }
 
+bool fleet_allowance_leader::has_tokens(const std::string& name, double tokens,
+                                        const allowance& limit,
+                                        time_point now) {
+  account& owner = find_or_add_account(name, limit, now);
+  return !owner.has_queued() && owner.bucket.available(now) >= tokens;
+}
+
+void fleet_allowance_leader::take(const std::string& name, double tokens,
+                                  const allowance& limit, time_point now) {
+  find_or_add_account(name, limit, now)
+      .bucket.take(tokens, duration::max(), now);
+}
+
 void fleet_allowance_leader::refund(const fleet_tokens_refund& in,
                                     time_point now) {
   const auto found = accounts_.find(in.account);
@@ -291,6 +334,7 @@
   if (!reply.leads) {
     return;
   }
+  lots_.erase(name);
   if (!reply.scarce) {
     last_scarce_at_.erase(name);
     return;
@@ -362,10 +406,38 @@
   if (available_here < tokens) {
     own.needed_share.reset();
   }
+  add_spending(name, tokens, now);
+  return {};
+}
+
+void fleet_allowance_share::add_spending(const std::string& name, double tokens,
+                                         time_point now) {
   spending& spent = unreported_spending_[name];
   spent.tokens += tokens;
   spent.last_at = now;
-  return {};
+}
+
+duration fleet_allowance_share::draw_own_part(const std::string& name,
+                                              const allowance& limit,
+                                              double tokens,
+                                              std::size_t processes,
+                                              double draw, time_point now) {
+  const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
+  allowance part;
+  part.tokens_per_second = limit.tokens_per_second * drawn_share / parts;
+  part.burst_tokens = limit.burst_tokens / parts;
+  reserving_bucket& bucket =
+      lots_.emplace(name, reserving_bucket(part, 0, now)).first->second;
+  bucket.set_limit(part, now);
+  const double stake = std::min(tokens, bucket.available(now));
+  bucket.take(stake, duration::max(), now);
+  if (draw * tokens < stake) {
+    add_spending(name, tokens, now);
+    return {};
+  }
+  return std::max(
+      min_accrual_wait,
+      bucket.wait_until_accrued(std::min(tokens, part.burst_tokens), now));
 }
 
 }  // namespace citronwharf
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -1,6 +1,7 @@
-/// Token allowances of organisations, enforced over all gateways. Gateways ask
-/// the leader, which keeps the accounts, and use their own part of an allowance
-/// while it can't be reached.
+/// Allowances that are enforced over all gateways: of organisations, in tokens,
+/// and of servers that named a limit, in requests. Gateways ask the leader,
+/// which keeps the accounts, and use their own part of an allowance while it
+/// can't be reached.
 #ifndef CITRONWHARF_GATEWAY_FLEET_ALLOWANCE_H_
 #define CITRONWHARF_GATEWAY_FLEET_ALLOWANCE_H_
 
@@ -22,6 +23,23 @@
 /// one token.
 allowance to_allowance(double tokens_per_second, double burst_tokens);
 
+/// The limit of an account.
+struct account_limit {
+  allowance limit;
+  /// What it takes are single requests, most of them larger than what accrues
+  /// in the part of one gateway. Refused callers are told when tokens accrue,
+  /// and are not spread over later times.
+  bool single_requests = false;
+};
+
+/// Names of accounts.
+std::string organisation_account(const std::string& organisation);
+std::string server_account(const std::string& server);
+/// Returns the name of the organisation or server if the account is of that
+/// kind.
+std::optional<std::string> find_organisation(const std::string& account);
+std::optional<std::string> find_server(const std::string& account);
+
 /// Token bucket with reservations: a request may take tokens before they accrue
 /// if it waits until they have. Over any span t, requests that have waited get
 /// at most rate * t + burst tokens. Reads no clock; the caller passes `now`.
@@ -82,7 +100,14 @@
   /// nearly all of the burst is available, the gateway also gets a surplus for
   /// later requests.
   fleet_tokens_reply ask(const std::string& process, const fleet_tokens_ask& in,
-                         const allowance& limit, time_point now);
+                         const account_limit& terms, time_point now);
+  /// Returns whether the account has these tokens and nothing is queued for
+  /// them.
+  bool has_tokens(const std::string& name, double tokens,
+                  const allowance& limit, time_point now);
+  /// Takes tokens for a request that the leader itself places.
+  void take(const std::string& name, double tokens, const allowance& limit,
+            time_point now);
   /// Takes tokens back if this leader granted them; ignores grants of an
   /// earlier leader.
   void refund(const fleet_tokens_refund& in, time_point now);
@@ -170,6 +195,15 @@
   duration take_own_part(const std::string& name, const allowance& limit,
                          double tokens, std::size_t processes, double draw,
                          time_point now);
+  /// Takes tokens for a single request by lot: all that has accrued in the own
+  /// part, at most its part of the burst, is the probability, and is staked. So
+  /// the gateways together take on average no more than accrues and the burst,
+  /// however many they are and however long they were idle. `draw` is a random
+  /// number from [0, 1). Returns zero if the tokens were taken, else the wait
+  /// until another draw is worthwhile.
+  duration draw_own_part(const std::string& name, const allowance& limit,
+                         double tokens, std::size_t processes, double draw,
+                         time_point now);
   /// Returns what was granted from the own part since the last call, to be
   /// reported to the leader.
   std::vector<fleet_tokens_spent> take_spent(time_point now);
@@ -192,9 +226,11 @@
     std::optional<time_point> last_short_at;
   };
   bool is_scarce(const std::string& name, time_point now) const;
+  void add_spending(const std::string& name, double tokens, time_point now);
 
-  std::map<std::string, surplus> surplus_;    // by account
-  std::map<std::string, own_part> own_part_;  // by account
+  std::map<std::string, surplus> surplus_;        // by account
+  std::map<std::string, own_part> own_part_;      // by account
+  std::map<std::string, reserving_bucket> lots_;  // by account
   // When the leader last reported an organisation as scarce.
   std::map<std::string, time_point> last_scarce_at_;
   std::map<std::string, spending> unreported_spending_;  // by account
--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -105,6 +105,7 @@
 
 server_answer apply_server_headers(forward_context& context,
                                    const std::string& server,
+                                   response_kind kind, time_point sent_at,
                                    const http_response& head) {
   server_answer answer = context.codec.read_answer(head);
   const time_point now = runtime_clock::now();
@@ -118,6 +119,10 @@
     context.servers.start_backoff(server, *answer.retry_after, now);
     log_event(events::server_spared, server, to_ms(*answer.retry_after));
   }
+  // A limit that can't be read doesn't say that there is none.
+  if (answer.limit.has_value() == answer.names_limit) {
+    context.health.limit(server, kind, answer.limit, sent_at);
+  }
   if (!answer.ignored_header.empty()) {
     log_event(events::server_header_ignored, server, answer.ignored_header);
   }
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -20,6 +20,7 @@
 #include "gateway/prompt_quarantine.h"
 #include "gateway/resolution.h"
 #include "gateway/retry_budget.h"
+#include "gateway/server_limits.h"
 #include "gateway/server_list.h"
 #include "net/http_pool.h"
 #include "net/http_server.h"
@@ -72,6 +73,15 @@
                      const allowance_grant& of)>
       refund;
   prompt_quarantine& quarantine;
+  server_limits& limits;
+  /// Takes requests of the limit that a server named, shared by all gateways.
+  /// They may be waited for up to `max_wait`. Calls `done` once, possibly
+  /// before returning; `wait` is the time until the server takes more if they
+  /// were not granted.
+  std::function<void(const std::string& server, double requests,
+                     duration max_wait,
+                     std::function<void(bool granted, duration wait)> done)>
+      take_server_requests;
 };
 
 /// A request that passed the admission filters.
@@ -86,10 +96,12 @@
 };
 
 /// Applies what a server states about itself in the headers of any response:
-/// its load, that it is shutting down, that it asks for a back-off. Returns the
-/// decoded head.
+/// its load, that it is shutting down, that it asks for a back-off, its limit.
+/// `sent_at` is the time at which the request was sent. Returns the decoded
+/// head.
 server_answer apply_server_headers(forward_context& context,
                                    const std::string& server,
+                                   response_kind kind, time_point sent_at,
                                    const http_response& head);
 
 /// Base class for forwarding plain requests and streams. Calls the `ended`
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -73,13 +73,21 @@
                 std::uniform_real_distribution<double>(0, 1)(random_)),
         cluster_(process,
                  [this](const published_document& in) { on_document(in); }),
-        allowances_(process.loop, process.peers, cluster_, process.incarnation,
-                    [this](const std::string& name) { return limit_of(name); }),
+        allowances_(
+            process.loop, process.peers, cluster_, process.incarnation,
+            [this](const std::string& account) { return limit_of(account); }),
         directory_(process, cluster_, codec_, pool_,
                    make_schedule_options(process.options.gateway)),
-        placement_(process, cluster_),
-        health_(process, cluster_, [this] { return servers_.all(); }),
-        stages_(process, cluster_, codec_, pool_, servers_, placement_,
+        placement_(process, cluster_,
+                   {[this](const std::string& engine, double requests) {
+                      return has_requests(engine, requests);
+                    },
+                    [this](const std::string& engine, double requests) {
+                      take_requests_as_leader(engine, requests);
+                    }}),
+        health_(
+            process, cluster_, [this] { return servers_.all(); }, limits_),
+        stages_(process, cluster_, codec_, pool_, servers_, placement_, limits_,
                 [this] { return engine_profiles(); }),
         routing_table_(
             std::make_shared<const routing_table>(gateway_configuration{})),
@@ -100,9 +108,17 @@
                  [this] { return document_age(); },
                  [this](const std::string& organisation,
                         const allowance_grant& grant) {
-                   allowances_.return_tokens(organisation, grant);
+                   allowances_.return_tokens(organisation_account(organisation),
+                                             grant);
                  },
-                 quarantine_},
+                 quarantine_,
+                 limits_,
+                 [this](const std::string& server, double requests,
+                        duration max_wait,
+                        std::function<void(bool, duration)> done) {
+                   take_server_requests(server, requests, max_wait,
+                                        std::move(done));
+                 }},
         startup_queue_(
             process.loop, {},
             [this] { return can_route(runtime_clock::now()); },
@@ -149,7 +165,12 @@
   void filter_again(const std::shared_ptr<admitted_request>& held);
   void start_forward(admitted_request request);
   std::string choose_service(const gateway_route& route);
-  allowance limit_of(const std::string& organisation) const;
+  account_limit limit_of(const std::string& account) const;
+  bool has_requests(const std::string& engine, double requests);
+  void take_requests_as_leader(const std::string& engine, double requests);
+  void take_server_requests(const std::string& server, double requests,
+                            duration max_wait,
+                            std::function<void(bool, duration)> done);
   std::map<std::string, engine_profile> engine_profiles() const;
   duration document_age() const;
   void answer_last_requests();
@@ -162,6 +183,7 @@
   server_list servers_;
   retry_budget budget_;
   document_cluster cluster_;
+  server_limits limits_;
   allowance_client allowances_;
   directory_sync directory_;
   placement_client placement_;
@@ -303,12 +325,44 @@
   return true;
 }
 
-allowance gateway_role::limit_of(const std::string& organisation) const {
+account_limit gateway_role::limit_of(const std::string& account) const {
+  if (const auto server = find_server(account)) {
+    const auto rate = limits_.rate(*server, runtime_clock::now());
+    return {to_server_allowance(rate.value_or(unlimited_rate)), true};
+  }
+  const auto organisation = find_organisation(account);
   const gateway_organisation* found =
-      routing_table_->find_organisation_by_name(organisation);
-  return found == nullptr
-             ? to_allowance(0, 0)
-             : to_allowance(found->tokens_per_second, found->burst_tokens);
+      organisation ? routing_table_->find_organisation_by_name(*organisation)
+                   : nullptr;
+  return {found == nullptr
+              ? to_allowance(0, 0)
+              : to_allowance(found->tokens_per_second, found->burst_tokens)};
+}
+
+bool gateway_role::has_requests(const std::string& engine, double requests) {
+  return !limits_.rate(engine, runtime_clock::now()) ||
+         allowances_.has_tokens(server_account(engine), requests);
+}
+
+void gateway_role::take_requests_as_leader(const std::string& engine,
+                                           double requests) {
+  if (limits_.rate(engine, runtime_clock::now())) {
+    allowances_.take_as_leader(server_account(engine), requests);
+  }
+}
+
+void gateway_role::take_server_requests(
+    const std::string& server, double requests, duration max_wait,
+    std::function<void(bool, duration)> done) {
+  allowances_.take(
+      server_account(server), requests, max_wait,
+      [this, done = std::move(done)](const allowance_answer& answer) {
+        process_.metrics.add(
+            "citronwharf_gateway_limited_requests_total",
+            {{"source", answer.source},
+             {"outcome", answer.granted ? "granted" : "refused"}});
+        done(answer.granted, answer.wait);
+      });
 }
 
 std::map<std::string, engine_profile> gateway_role::engine_profiles() const {
@@ -414,7 +468,8 @@
     const duration until_start = latest_start(*held) - runtime_clock::now();
     max_wait = std::clamp(until_start, duration{}, max_wait);
   }
-  allowances_.take(held->resolved.organisation(), tokens, max_wait,
+  allowances_.take(organisation_account(held->resolved.organisation()), tokens,
+                   max_wait,
                    [this, wait, tokens](const allowance_answer& answer) {
                      on_allowance(wait, tokens, answer);
                    });
--- a/src/gateway/health_sync.cc
+++ b/src/gateway/health_sync.cc
@@ -1,5 +1,6 @@
 #include "gateway/health_sync.h"
 
+#include <set>
 #include <utility>
 
 #include "observe/event.h"
@@ -8,15 +9,28 @@
 namespace {
 
 constexpr duration report_interval = milliseconds(250);
+// A gateway that has just started learns the limits of servers within this
+// time.
+constexpr duration announcement_interval = seconds(1);
+
+void log_limit(const server_limit_state& in, const std::string& heard_by) {
+  if (in.lifted) {
+    log_event(events::server_limit_lifted, in.server, heard_by);
+  } else {
+    log_event(events::server_limited, in.server, in.requests_per_second,
+              nlohmann::json(in.kind).get<std::string>(), heard_by);
+  }
+}
 
 }  // namespace
 
 health_sync::health_sync(process_context& process, document_cluster& cluster,
-                         listed_servers listed)
+                         listed_servers listed, server_limits& limits)
     : process_(process),
       cluster_(cluster),
       list_servers_(std::move(listed)),
       detector_(outlier_options{}),
+      limits_(limits),
       report_timer_(process.loop) {}
 
 health_sync::~health_sync() {
@@ -53,9 +67,80 @@
           log_event(events::server_leaves, in.server, from.name);
         }
       });
+  process_.peers.on<limit_report>(
+      [this, alive = alive_](const peer_id& from, const limit_report& in) {
+        if (*alive) {
+          on_limits(from.name, {in.limit});
+        }
+      });
+  process_.peers.on<limit_notice>(
+      [this, alive = alive_](const peer_id& from, const limit_notice& in) {
+        if (*alive) {
+          on_limits(from.name, in.limits);
+        }
+      });
   schedule_report();
 }
 
+void health_sync::limit(const std::string& server, response_kind kind,
+                        std::optional<double> rate, time_point sent_at) {
+  const time_point now = runtime_clock::now();
+  const std::optional<double> before = limits_.rate(server, now);
+  const auto news = limits_.heard(server, kind, rate, sent_at, now);
+  if (!news) {
+    return;
+  }
+  if (limits_.rate(server, now) != before) {
+    log_limit(*news, process_.options.process);
+  }
+  share_limit(*news);
+}
+
+void health_sync::share_limit(const server_limit_state& in) {
+  if (cluster_.leads()) {
+    cluster_.broadcast(limit_notice{{in}});
+  } else {
+    // A lost report is made up for by the next response of the server.
+    process_.peers
+        .send(cluster_.follower().leader(), make_frame(limit_report{in}))
+        .IgnoreError();
+  }
+}
+
+void health_sync::on_limits(const std::string& from,
+                            const std::vector<server_limit_state>& in) {
+  const time_point now = runtime_clock::now();
+  for (const server_limit_state& each : in) {
+    if (!limits_.merge(each, now)) {
+      continue;
+    }
+    log_limit(each, from);
+    if (cluster_.leads()) {
+      share_limit(each);
+    }
+  }
+}
+
+// Also forgets the limits of servers that are gone.
+void health_sync::announce_limits() {
+  const time_point now = runtime_clock::now();
+  if (now - limits_announced_at_ < announcement_interval) {
+    return;
+  }
+  limits_announced_at_ = now;
+  std::set<std::string> listed;
+  for (const listed_server& each : list_servers_()) {
+    listed.insert(each.id);
+  }
+  limits_.keep(listed);
+  const std::vector<server_limit_state> limits = limits_.state(now);
+  process_.metrics.set("citronwharf_gateway_limited_servers", {},
+                       static_cast<double>(limits.size()));
+  if (cluster_.leads() && !limits.empty()) {
+    cluster_.broadcast(limit_notice{limits});
+  }
+}
+
 void health_sync::lost(const std::string& server) {
   ++outcomes_[server].lost;
   send_report();
@@ -119,6 +204,7 @@
   report_timer_.expires_after(report_interval);
   when_expired(report_timer_, alive_, [this] {
     send_report();
+    announce_limits();
     schedule_report();
   });
 }
--- a/src/gateway/health_sync.h
+++ b/src/gateway/health_sync.h
@@ -1,17 +1,20 @@
 /// Exchange of server health between gateways: each one reports outcomes of
-/// requests to the leader, which announces outliers and leaving servers to all.
+/// requests to the leader, which announces outliers, leaving servers and the
+/// limits of servers to all.
 #ifndef CITRONWHARF_GATEWAY_HEALTH_SYNC_H_
 #define CITRONWHARF_GATEWAY_HEALTH_SYNC_H_
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/process_context.h"
 #include "control/document_cluster.h"
 #include "gateway/outlier_detector.h"
+#include "gateway/server_limits.h"
 
 namespace citronwharf {
 
@@ -30,6 +33,21 @@
 };
 CITRONWHARF_VALUE(leaving_notice, server)
 
+/// Sent by a gateway to the leader: a server named a limit or ceased to.
+struct limit_report {
+  static constexpr const char* type_name = "limit_report";
+  server_limit_state limit;
+};
+CITRONWHARF_VALUE(limit_report, limit)
+
+/// Sent by the leader to all gateways: the limits that changed, or now and then
+/// all of them.
+struct limit_notice {
+  static constexpr const char* type_name = "limit_notice";
+  std::vector<server_limit_state> limits;
+};
+CITRONWHARF_VALUE(limit_notice, limits)
+
 /// Not thread-safe; use from the event loop thread only. Preconditions: the
 /// references outlive it.
 class health_sync {
@@ -40,7 +58,7 @@
   using leaving_handler = std::function<bool(const std::string& server)>;
 
   health_sync(process_context& process, document_cluster& cluster,
-              listed_servers listed);
+              listed_servers listed, server_limits& limits);
   ~health_sync();
   health_sync(const health_sync&) = delete;
   health_sync& operator=(const health_sync&) = delete;
@@ -58,12 +76,20 @@
   void lost(const std::string& server);
   /// Announces that the server is about to stop.
   void leaving(const std::string& server);
+  /// Records what a response said about the limit of its server, and tells the
+  /// fleet if that is news. `rate` is empty if it named none.
+  void limit(const std::string& server, response_kind kind,
+             std::optional<double> rate, time_point sent_at);
 
  private:
   void notify_all(const std::string& server);
   void send_report();
   void on_report(const outcome_report& in);
   void schedule_report();
+  void on_limits(const std::string& from,
+                 const std::vector<server_limit_state>& in);
+  void share_limit(const server_limit_state& in);
+  void announce_limits();
 
   process_context& process_;
   document_cluster& cluster_;
@@ -71,6 +97,8 @@
   notice_handler on_notice_;
   leaving_handler on_leaving_;
   outlier_detector detector_;
+  server_limits& limits_;
+  time_point limits_announced_at_{};
   runtime_timer report_timer_;
   bool was_leading_ = false;
   std::map<std::string, server_outcomes> outcomes_;  // since the last report
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -31,11 +31,12 @@
 }  // namespace
 
 placement_client::placement_client(process_context& process,
-                                   document_cluster& cluster)
+                                   document_cluster& cluster,
+                                   engine_limit_hooks limits)
     : process_(process),
       cluster_(cluster),
       timer_(process.loop),
-      scheduler_(engine_scheduler_options{}) {}
+      scheduler_(engine_scheduler_options{}, std::move(limits)) {}
 
 placement_client::~placement_client() {
   *alive_ = false;
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -23,7 +23,8 @@
   /// not_leading if no leader answers and the gateway has to decide locally.
   using grant_handler = std::function<void(const placement_grant&)>;
 
-  placement_client(process_context& process, document_cluster& cluster);
+  placement_client(process_context& process, document_cluster& cluster,
+                   engine_limit_hooks limits = {});
   ~placement_client();
   placement_client(const placement_client&) = delete;
   placement_client& operator=(const placement_client&) = delete;
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -18,6 +18,9 @@
 constexpr int silence_timeout_objectives = 2;
 // For routes with an objective of next to nothing.
 constexpr duration min_silence_timeout = milliseconds(100);
+// Share of its latency objective for which a request may wait until a server
+// that is at its limit takes it.
+constexpr double max_limit_wait_share = 0.25;
 // Limit per response, since responses are buffered whole.
 constexpr std::uint64_t max_response_bytes = 4U << 20U;
 
@@ -58,10 +61,11 @@
 
 // The request as sent to one server.
 struct server_attempt {
-  server_attempt(std::string id, response_memory_budget& budget)
-      : server(std::move(id)), response(budget) {}
+  server_attempt(std::string id, time_point now, response_memory_budget& budget)
+      : server(std::move(id)), sent_at(now), response(budget) {}
 
   std::string server;  // id
+  time_point sent_at;
   bool silent = false;
   bool silence_reported = false;  // as a loss
   attempt_report report;
@@ -79,33 +83,131 @@
   plain_forwarder& operator=(const plain_forwarder&) = delete;
 
  private:
-  void begin() override {
-    const auto chosen = choose_server();
-    if (!chosen || !send_to(*chosen)) {
-      respond_or_refuse(decide_without_retry({}, progress()), nullptr);
-    }
-  }
+  void begin() override { search(false); }
 
   void stop() override {
     while (!running_.empty()) {
       end_call(*running_.back(), server_result::abandoned);
     }
     silence_timer_.cancel();
+    put_back_retry();
   }
 
-  std::optional<chosen_server> choose_server() {
-    server_criteria criteria;
-    criteria.service = service().name;
-    criteria.preferred_domain = context().failure_domain;
-    criteria.excluded = tried_servers_;
+  void put_back_retry() {
+    if (retry_taken_at_) {
+      request_forwarder::put_back_retry(
+          *std::exchange(retry_taken_at_, std::nullopt));
+    }
+  }
+
+  server_criteria make_criteria() {
+    server_criteria out;
+    out.service = service().name;
+    out.preferred_domain = context().failure_domain;
+    out.excluded = tried_servers_;
+    out.excluded.insert(limited_servers_.begin(), limited_servers_.end());
+    return out;
+  }
+
+  // Looks for a server and sends the request to it; calls on_no_server() if
+  // there is none. An attempt that reached no server adds no load, so the next
+  // one takes nothing from the retry budget.
+  void search(bool takes_retry) {
+    searching_ = true;
+    takes_retry_ = takes_retry;
+    limited_servers_.clear();
+    choose_server();
+  }
+
+  void choose_server() {
     const time_point now = runtime_clock::now();
-    auto chosen = context().servers.choose(criteria, now);
+    const auto chosen = context().servers.choose(make_criteria(), now);
     if (!chosen) {
       add_to_trail("no_server");
-      retry_after_ =
-          context().servers.min_backoff_remaining(service().name, now);
+      retry_after_ = context().servers.min_wait(service().name, now);
+      end_search();
+      return;
+    }
+    if (takes_retry_ && !retry_taken_at_) {
+      retry_taken_at_ = take_retry();
+      if (!retry_taken_at_) {
+        end_search();
+        return;
+      }
+    }
+    if (context().limits.rate(chosen->server.id, now)) {
+      take_server_request(*chosen);
+    } else {
+      send_found(*chosen);
+    }
+  }
+
+  // The server takes few requests, which all gateways share. The request waits
+  // for its turn only if there is no other server.
+  void take_server_request(const chosen_server& chosen) {
+    const std::string& server = chosen.server.id;
+    limited_servers_.insert(server);
+    const bool has_other =
+        context()
+            .servers.choose(make_criteria(), runtime_clock::now())
+            .has_value();
+    const duration max_wait = has_other ? duration{} : max_limit_wait();
+    if (chosen.limit_wait > max_wait) {
+      on_server_limited(server, chosen.limit_wait);
+      return;
+    }
+    context().take_server_requests(
+        server, 1, max_wait,
+        [this, alive = alive_, chosen](bool granted, duration wait) {
+          if (!*alive || finished()) {
+            return;
+          }
+          if (granted) {
+            send_found(chosen);
+            return;
+          }
+          context().servers.limit_reached(chosen.server.id, wait,
+                                          runtime_clock::now());
+          on_server_limited(chosen.server.id, wait);
+        });
+  }
+
+  void on_server_limited(const std::string& server, duration wait) {
+    add_to_trail(fmt::format("limited({},wait_ms={})", server,
+                             to_microseconds(wait) / 1000));
+    choose_server();
+  }
+
+  duration max_limit_wait() const {
+    const auto max_wait = std::chrono::duration_cast<duration>(
+        milliseconds(route().objective_ms) * max_limit_wait_share);
+    const duration elapsed = runtime_clock::now() - request().received;
+    return std::max(duration{}, max_wait - elapsed);
+  }
+
+  void send_found(const chosen_server& chosen) {
+    searching_ = false;
+    retry_taken_at_.reset();
+    if (!send_to(chosen)) {
+      on_no_server();
     }
-    return chosen;
+  }
+
+  void end_search() {
+    searching_ = false;
+    put_back_retry();
+    on_no_server();
+  }
+
+  void on_no_server() {
+    if (!running_.empty()) {
+      search_later();
+      return;
+    }
+    std::unique_ptr<server_attempt> ended = std::move(last_attempt_);
+    const attempt_report report = ended ? ended->report : attempt_report{};
+    end_without_retry(decide_without_retry(report, progress()),
+                      std::move(ended));
   }
 
   // Returns false if the request must not be sent again.
@@ -117,15 +219,16 @@
     add_to_trail(fmt::format("send({},{},in_flight={},load={})", server.id,
                              server.address, chosen.in_flight,
                              chosen.reported_load));
-    context().servers.started(server.id, 0, runtime_clock::now());
+    const time_point now = runtime_clock::now();
+    context().servers.started(server.id, 0, now);
     server_call call;
     call.organisation = request().resolved.organisation();
     call.instance = server.id;
     call.deadline = server_deadline();
     pooled_call pooled = call_for_request(server.address);
     pooled.max_body_bytes = max_response_bytes;
-    running_.push_back(
-        std::make_unique<server_attempt>(server.id, context().response_budget));
+    running_.push_back(std::make_unique<server_attempt>(
+        server.id, now, context().response_budget));
     server_attempt& attempt = *running_.back();
     attempt.call = context().pool.start(
         std::move(pooled), context().codec.make_call(request().caller, call),
@@ -134,13 +237,6 @@
     return true;
   }
 
-  // Sends the request to another server, if there is one. An attempt that
-  // reached no server adds no load, so the next one needs no retry budget.
-  bool send_again(const attempt_report& previous) {
-    const auto chosen = choose_server();
-    return chosen && (!previous.sent || take_retry()) && send_to(*chosen);
-  }
-
   // The attempt owns the call, so it outlives the handlers.
   http_call_handlers response_handlers(server_attempt& attempt) {
     http_call_handlers out;
@@ -194,10 +290,8 @@
         }
       }
     }
-    attempt_report silent;
-    silent.sent = true;
-    if (may_send && !send_again(silent)) {
-      search_later();
+    if (may_send && !searching_) {
+      search(true);
     }
   }
 
@@ -212,7 +306,8 @@
   void on_response(server_attempt& attempt) {
     const http_response& response = attempt.response.get();
     const server_answer answer =
-        apply_server_headers(context(), attempt.server, response);
+        apply_server_headers(context(), attempt.server, response_kind::request,
+                             attempt.sent_at, response);
     if (is_success(answer.status) && !answer.is_signed) {
       // The response does not carry the signature of the server.
       add_to_trail("unsigned");
@@ -263,13 +358,20 @@
       wait_for_others(std::move(ended));
       return;
     }
-    attempt_decision next = decide_after_attempt(ended->report, progress());
-    if (next == attempt_decision::retry) {
-      if (send_again(ended->report)) {
-        return;
-      }
-      next = decide_without_retry(ended->report, progress());
+    const attempt_decision next =
+        decide_after_attempt(ended->report, progress());
+    if (next != attempt_decision::retry) {
+      end_without_retry(next, std::move(ended));
+      return;
+    }
+    last_attempt_ = std::move(ended);
+    if (!searching_) {
+      search(last_attempt_->report.sent);
     }
+  }
+
+  void end_without_retry(attempt_decision next,
+                         std::unique_ptr<server_attempt> ended) {
     if (next != attempt_decision::deliver && error_answer_) {
       ended = std::move(error_answer_);
       next = decide_without_retry(ended->report, progress());
@@ -285,12 +387,16 @@
     }
     const server_attempt& newest = *running_.back();
     adopt_attempt(newest.server);
-    if (newest.silent && may_send_beside_silent() && !send_again(report)) {
-      search_later();
+    if (newest.silent && may_send_beside_silent() && !searching_) {
+      search(report.sent);
     }
   }
 
   void on_deadline() override {
+    if (!error_answer_ && last_attempt_ && last_attempt_->report.answered &&
+        !last_attempt_->report.not_run) {
+      error_answer_ = std::move(last_attempt_);
+    }
     if (error_answer_) {
       add_to_trail("deadline");
       respond_or_refuse(attempt_decision::deliver, std::move(error_answer_));
@@ -299,6 +405,12 @@
     request_forwarder::on_deadline();
   }
 
+  const char* refusal_reason() const {
+    return attempts_ > 0              ? "servers_refused"
+           : limited_servers_.empty() ? "no_server"
+                                      : "servers_limited";
+  }
+
   void respond_or_refuse(attempt_decision next,
                          std::unique_ptr<server_attempt> last) {
     constexpr int bad_gateway = 502;
@@ -311,8 +423,7 @@
         deliver(last->response.take(), "answered");
         break;
       case attempt_decision::refuse_not_run:
-        refuse_not_run(attempts_ == 0 ? "no_server" : "servers_refused",
-                       retry_after_);
+        refuse_not_run(refusal_reason(), retry_after_);
         break;
       case attempt_decision::retry:
       case attempt_decision::fail_unknown:
@@ -323,6 +434,12 @@
 
   runtime_timer silence_timer_;
   duration search_delay_{};
+  bool searching_ = false;    // for a server
+  bool takes_retry_ = false;  // the search does
+  std::optional<time_point> retry_taken_at_;
+  std::set<std::string> limited_servers_;  // ids; asked in this search
+  // Ended while no other was under way; the search replaces it.
+  std::unique_ptr<server_attempt> last_attempt_;
   // Oldest first. All but the last one are silent.
   std::vector<std::unique_ptr<server_attempt>> running_;
   // Ended with an error answer while others were under way.
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -14,6 +14,11 @@
 // resort.
 constexpr double ejected_cost = 1000;
 constexpr double full_cost = 10;
+// Cost added for a server whose limit is used up, and for each second until it
+// takes another request. Less than that of a server that failed, since waiting
+// helps.
+constexpr double limited_cost = 100;
+constexpr double limited_cost_per_second = 10;
 // Random cost that breaks ties, so that gateways do not all choose the same
 // server.
 constexpr double max_tie_break_noise = 0.01;
@@ -95,6 +100,10 @@
   if (state.ejection_state.holds(now) || now < state.outlier_until) {
     cost += ejected_cost;
   }
+  if (now < state.limited_until) {
+    cost += limited_cost +
+            limited_cost_per_second * to_seconds(state.limited_until - now);
+  }
   std::uniform_real_distribution<double> noise(0, max_tie_break_noise);
   return cost + noise(random_);
 }
@@ -127,6 +136,7 @@
       best_server->stage_switch.stage_now(best_server->listed.stage, now);
   out.in_flight = best_server->in_flight;
   out.full = is_full(*best_server, criteria, now);
+  out.limit_wait = std::max(duration{}, best_server->limited_until - now);
   if (best_server->load &&
       now - best_server->load_received_at < options_.load_report_lifetime) {
     out.reported_load = best_server->load->running + best_server->load->waiting;
@@ -244,6 +254,14 @@
   state.full_until = std::max(state.full_until, state.backoff_until);
 }
 
+void server_list::limit_reached(const std::string& id, duration span,
+                                time_point now) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) {
+    found->second.limited_until = now + span;
+  }
+}
+
 bool server_list::may_send(const std::string& id, time_point now) const {
   const auto found = servers_.find(id);
   return found == servers_.end() || !in_backoff(found->second, now) ||
@@ -261,14 +279,14 @@
   return out;
 }
 
-std::optional<duration> server_list::min_backoff_remaining(
-    const std::string& service, time_point now) const {
+std::optional<duration> server_list::min_wait(const std::string& service,
+                                              time_point now) const {
   std::optional<duration> out;
   for (const auto& [id, state] : servers_) {
+    const time_point until = std::max(state.backoff_until, state.limited_until);
     if (state.listed.service == service && !state.listed.leaving &&
-        now < state.backoff_until) {
-      const duration left = state.backoff_until - now;
-      out = out ? std::min(*out, left) : left;
+        now < until) {
+      out = out ? std::min(*out, until - now) : until - now;
     }
   }
   return out;
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -54,6 +54,8 @@
   std::int64_t in_flight = 0;       ///< requests of this process
   std::int64_t reported_load = -1;  ///< running and waiting; -1: unknown
   bool full = false;                ///< no free slot or memory known
+  /// Time until the server takes another request, as its limit goes.
+  duration limit_wait{};
 };
 
 /// How a request ended at a server.
@@ -115,16 +117,20 @@
   bool leaves(const std::string& id, time_point now);
   /// Records that the server asked this process to send nothing for a span.
   void start_backoff(const std::string& id, duration span, time_point now);
+  /// Records that the limit that the server named is used up for a span. It is
+  /// chosen only if there is no other server.
+  void limit_reached(const std::string& id, duration span, time_point now);
   /// Returns whether a request that already holds memory at the server may be
   /// sent.
   bool may_send(const std::string& id, time_point now) const;
   /// Returns the servers of a service that are in a back-off they asked for.
   std::set<std::string> servers_in_backoff(const std::string& service,
                                            time_point now) const;
-  /// Returns the time until the first server of the service ends its back-off;
-  /// nothing when no server is in one.
-  std::optional<duration> min_backoff_remaining(const std::string& service,
-                                                time_point now) const;
+  /// Returns the time until the first server of the service ends its back-off
+  /// or takes another request, as its limit goes; nothing when no server is in
+  /// a back-off or at its limit.
+  std::optional<duration> min_wait(const std::string& service,
+                                   time_point now) const;
   /// Records the load reported in a response.
   void update_load(const std::string& id, const server_load& load,
                    time_point now);
@@ -148,6 +154,7 @@
     announced_switch stage_switch;
     ejection ejection_state;
     time_point outlier_until{};
+    time_point limited_until{};
   };
 
   double cost(const server_state& state, const server_criteria& criteria,
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -25,6 +25,7 @@
                                    const gateway_codec& codec, http_pool& pool,
                                    server_list& servers,
                                    placement_client& placement,
+                                   const server_limits& limits,
                                    profiles_of profiles)
     : process_(process),
       cluster_(cluster),
@@ -32,6 +33,7 @@
       pool_(pool),
       servers_(servers),
       placement_(placement),
+      limits_(limits),
       profiles_(std::move(profiles)),
       timer_(process.loop),
       planner_(stage_planner_options{}) {}
@@ -67,7 +69,9 @@
     for (stage_order& order :
          planner_.plan(service, servers_.servers_of_service(service),
                        placement_.failing(service), now)) {
-      if (servers_.may_send(order.server, now)) {
+      // An engine in need takes no calls beside its requests.
+      if (servers_.may_send(order.server, now) &&
+          !limits_.rate(order.server, now)) {
         issue_order(std::move(order), profile);
       }
     }
--- a/src/gateway/stage_controller.h
+++ b/src/gateway/stage_controller.h
@@ -12,6 +12,7 @@
 #include "control/document_cluster.h"
 #include "gateway/codec.h"
 #include "gateway/placement_client.h"
+#include "gateway/server_limits.h"
 #include "gateway/server_list.h"
 #include "gateway/stage_planner.h"
 #include "net/http_pool.h"
@@ -28,7 +29,7 @@
   stage_controller(process_context& process, document_cluster& cluster,
                    const gateway_codec& codec, http_pool& pool,
                    server_list& servers, placement_client& placement,
-                   profiles_of profiles);
+                   const server_limits& limits, profiles_of profiles);
   ~stage_controller();
   stage_controller(const stage_controller&) = delete;
   stage_controller& operator=(const stage_controller&) = delete;
@@ -53,6 +54,7 @@
   http_pool& pool_;
   server_list& servers_;
   placement_client& placement_;
+  const server_limits& limits_;
   profiles_of profiles_;
   runtime_timer timer_;
   stage_planner planner_;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -67,6 +67,7 @@
 struct engine_call {
   std::unique_ptr<http_call> call;
   std::string server;  // id, "" if there is no call
+  time_point sent_at{};
   bool memory_held = false;
 };
 
@@ -294,7 +295,8 @@
       }
       return;
     }
-    apply_server_headers(context(), prefill_server_.id, *response);
+    apply_server_headers(context(), prefill_server_.id, response_kind::prompt,
+                         prefill_started_, *response);
     if (response->status != status_ok) {
       add_to_trail(fmt::format("prefill_refused({})", response->status));
       // The engine has no room for another export, which is not a failure.
@@ -424,7 +426,7 @@
         context().pool.start(std::move(pooled),
                              context().codec.make_call(request().caller, call),
                              std::move(handlers)),
-        server.id};
+        server.id, runtime_clock::now()};
   }
 
   http_call_handlers decode_handlers(const std::string& server) {
@@ -557,7 +559,8 @@
   // The response is complete, and no stream.
   void on_replacement_response() {
     const server_answer answer = apply_server_headers(
-        context(), replacement_call_.server, *replacement_head_);
+        context(), replacement_call_.server, response_kind::request,
+        replacement_call_.sent_at, *replacement_head_);
     add_to_trail(fmt::format("replacement_answer({},not_run={})", answer.status,
                              answer.not_run));
     if (answer.status == status_misdirected) {
@@ -647,8 +650,8 @@
   void on_head(const http_response& head) {
     head_ = head;
     report_.sent = true;
-    const server_answer answer =
-        apply_server_headers(context(), last_server_, head);
+    const server_answer answer = apply_server_headers(
+        context(), last_server_, response_kind::request, call_.sent_at, head);
     if (answer.status == status_ok && !answer.is_signed) {
       add_to_trail("unsigned");
       finish_attempt(server_result::failed);
@@ -895,9 +898,12 @@
       return;
     }
     // The engine frees an unused export when it expires, so a lost call is
-    // harmless. The pool keeps the call alive until it ends.
-    send_detached(context(), prefill_server_,
-                  context().codec.drop_prefill(export_.handle));
+    // harmless, and an engine in need gets none. The pool keeps the call alive
+    // until it ends.
+    if (!context().limits.rate(prefill_server_.id, runtime_clock::now())) {
+      send_detached(context(), prefill_server_,
+                    context().codec.drop_prefill(export_.handle));
+    }
     export_ = {};
   }
 
--- a/test/fleet_allowance_within_limit-test.cc
+++ b/test/fleet_allowance_within_limit-test.cc
@@ -64,7 +64,7 @@
               leader.ask(std::to_string(gateway),
                          {++last_id, "importers", prompt_tokens,
                           to_microseconds(max_wait)},
-                         limit, now);
+                         {limit}, now);
           share.on_leader_reply("importers", reply, now);
           continue;
         }
--- a/test/gateway-clients-test.cc
+++ b/test/gateway-clients-test.cc
@@ -46,8 +46,9 @@
                         leader_fixture) {
   BOOST_REQUIRE(run_until(loop, [&] { return leads(); }));
   const allowance limit = to_allowance(1000, 1000);
-  allowance_client client(loop, node.context().peers, node.cluster(), 1,
-                          [&](const std::string&) { return limit; });
+  allowance_client client(
+      loop, node.context().peers, node.cluster(), 1,
+      [&](const std::string&) { return account_limit{limit}; });
   const paused_clock clock;
   // Uses up what has accrued; the last request is queued.
   bool granted = true;
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -284,7 +284,7 @@
     const fleet_tokens_ask in{++last_id_, "importers", tokens,
                               to_microseconds(max_wait)};
     pending_[in.id] = {now, tokens};
-    take(leader_.ask("g1", in, limit_, now), now);
+    take(leader_.ask("g1", in, {limit_}, now), now);
   }
   // Collects the decisions up to a time, each when it is due.
   void collect_decisions(time_point until) {
@@ -414,10 +414,10 @@
   fleet_allowance_leader home;
   home.start_leading(start);
   const fleet_tokens_ask ask{1, "importers", 250, 0};
-  BOOST_TEST(home.ask("g1", ask, limit, start).granted);
-  BOOST_TEST(!home.ask("g1", ask, limit, start).granted);
+  BOOST_TEST(home.ask("g1", ask, {limit}, start).granted);
+  BOOST_TEST(!home.ask("g1", ask, {limit}, start).granted);
   home.refund({"importers", 250}, start);
-  BOOST_TEST(home.ask("g1", ask, limit, start).granted);
+  BOOST_TEST(home.ask("g1", ask, {limit}, start).granted);
 }
 
 // Load: one organisation has sent nothing since the leader changed and may use
@@ -428,9 +428,10 @@
   fleet_allowance_leader home;
   home.start_leading(start);
   const fleet_tokens_ask late{1, "importers", 1000, 0};
-  BOOST_TEST(home.ask("g1", late, limit, start + seconds(2)).granted);
+  BOOST_TEST(home.ask("g1", late, {limit}, start + seconds(2)).granted);
   const fleet_tokens_ask early{1, "exporters", 1000, 0};
-  BOOST_TEST(!home.ask("g1", early, limit, start + milliseconds(700)).granted);
+  BOOST_TEST(
+      !home.ask("g1", early, {limit}, start + milliseconds(700)).granted);
 }
 
 BOOST_AUTO_TEST_CASE(without_a_leader_each_process_grants_its_share) {
@@ -565,9 +566,7 @@
       start);
   servers.start_backoff("d1", seconds(2), start);
   BOOST_TEST(servers.servers_in_backoff("models", start).count("d1") == 1U);
-  BOOST_TEST(
-      to_seconds(servers.min_backoff_remaining("models", start).value()) ==
-      2.0);
+  BOOST_TEST(to_seconds(servers.min_wait("models", start).value()) == 2.0);
   for (int sent = 0; sent < 20; ++sent) {
     BOOST_TEST(
         servers.choose(criteria_for(engine_stage::decode), start)->server.id ==
@@ -586,7 +585,7 @@
   BOOST_TEST(sent == 2);
   const time_point after = start + milliseconds(2001);
   BOOST_TEST(servers.choose(last_resort, after).has_value());
-  BOOST_TEST(!servers.min_backoff_remaining("models", after));
+  BOOST_TEST(!servers.min_wait("models", after));
 }
 
 BOOST_AUTO_TEST_CASE(an_unreachable_server_is_ejected_until_it_responds) {
--- a/test/hot_organisation.h
+++ b/test/hot_organisation.h
@@ -142,7 +142,7 @@
     }
     const fleet_tokens_reply reply = leader_accounts_.ask(
         std::to_string(in.gateway),
-        {id, "hot", prompt_tokens, to_microseconds(left)}, limit_, now_);
+        {id, "hot", prompt_tokens, to_microseconds(left)}, {limit_}, now_);
     if (reply.queued) {
       in.deadline = now_ + from_microseconds(reply.wait_us) + ask_timeout;
       pending_asks_[id] = in;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -215,3 +215,29 @@
   BOOST_TEST(read->servers.size() == 1U);
   BOOST_TEST(!platform::read_servers("[]").ok());
 }
+
+BOOST_AUTO_TEST_CASE(limit_of_a_server_is_a_decimal_number_named_once) {
+  const gateway_codec codec = platform::make_codec();
+  const auto read = [&codec](const std::vector<std::string>& values) {
+    http_response head;
+    head.status = 200;
+    for (const std::string& value : values) {
+      head.headers.push_back({"server-limit", value});
+    }
+    return codec.read_answer(head);
+  };
+  BOOST_TEST(!read({}).names_limit);
+  BOOST_TEST(read({"4.3"}).limit.value() == 4.3);
+  BOOST_TEST(read({"0"}).limit.value() == 0.0);
+  for (const char* value : {"", "-1", "1e400", "1e3", "0x4", "four", "4,3",
+                            "nan", "99999999999", "1.2.3"}) {
+    BOOST_TEST_CONTEXT("'" << value << "'") {
+      const server_answer answer = read({value});
+      BOOST_TEST(answer.names_limit);
+      BOOST_TEST(!answer.limit);
+      BOOST_TEST(!answer.ignored_header.empty());
+    }
+  }
+  BOOST_TEST(!read({"4", "5"}).limit);
+  BOOST_TEST(read({"4", "5"}).names_limit);
+}
