Tests, red: a request that ends each server that runs it is sent for ever

Two gateways in real processes, three plain servers or engines that come back under new ids after 1.5 s.

--- a/test/raw_server.h
+++ b/test/raw_server.h
@@ -52,11 +52,22 @@
 
   raw_server(boost::asio::io_context& loop, handler on_request)
       : acceptor_(loop, {boost::asio::ip::tcp::v4(), 0}),
+        address_(acceptor_.local_endpoint()),
         on_request_(std::move(on_request)) {
     accept();
   }
   std::string address() const {
-    return fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port());
+    return fmt::format("127.0.0.1:{}", address_.port());
+  }
+
+  /// Refuses connections until restart().
+  void stop() { acceptor_.close(); }
+  void restart() {
+    acceptor_.open(address_.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(address_);
+    acceptor_.listen();
+    accept();
   }
 
   int connections = 0;
@@ -114,6 +125,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint address_;
   handler on_request_;
 };
 
