Quarantine: refuse a request that ends each server that runs it

Cause: nothing compared whole requests. prompt_quarantine compares the parts that prompts share; plain requests have none, and the last part of a prompt is left out. Ruled out: ends held against servers that are back, since they come under new ids.

The same module now also counts ends by the identity of a request: a keyed hash of organisation, host, method, path with query, and body, so that neither keys nor bodies are kept, sent or logged. A lost answer counts only if the server refuses a connection right after it (server_end_check): resets, cut and lost answers of servers that go on blame nobody. Two ends quarantine a request on all gateways, for 30 s, then for twice as long at the next end; any answer clears it. It is refused before it takes tokens or a place, with 503 and a Retry-After; plain requests and generations ask alike. A request in doubt is not sent to a second server. The body is hashed only where the rest of the identity is known.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
+#include <vector>
 
 #include "observe/event.h"
 
@@ -53,6 +54,21 @@
                           {{"kind", kind}}, to_seconds(elapsed));
 }
 
+// Returns what the request may be quarantined by: the shared parts of its
+// prompt, and its identity if that is known. The body is only hashed if the
+// rest of the identity is known.
+std::vector<std::string> quarantine_keys(const forward_context& context,
+                                         const admitted_request& request) {
+  std::vector<std::string> out = shared_parts(request.caller.prompt);
+  const std::string& organisation = request.resolved.organisation();
+  if (context.quarantine.knows_requests() &&
+      context.quarantine.knows_request(
+          identity_prefix(context.hash, request.caller, organisation))) {
+    out.push_back(identify_request(context.hash, request.caller, organisation));
+  }
+  return out;
+}
+
 }  // namespace
 
 duration suggest_retry_after(duration wait, duration time_left,
@@ -78,11 +94,11 @@
   context.refund(request.resolved.organisation(), request.granted);
 }
 
-std::optional<duration> find_quarantine(forward_context& context,
-                                        admitted_request& request) {
+std::optional<quarantine_refusal> find_quarantine(forward_context& context,
+                                                  admitted_request& request) {
   const time_point now = runtime_clock::now();
   const auto found = context.quarantine.find_quarantined(
-      shared_parts(request.caller.prompt), now);
+      quarantine_keys(context, request), now);
   if (!found) {
     return std::nullopt;
   }
@@ -91,7 +107,10 @@
       found->part, to_ms(found->left), to_ms(now - request.received));
   context.metrics.add("citronwharf_gateway_requests_quarantined_total",
                       {{"service", request.resolved.service_name()}});
-  return found->left;
+  return quarantine_refusal{is_request_identity(found->part)
+                                ? "request_quarantined"
+                                : "prompt_quarantined",
+                            found->left};
 }
 
 void send_refusal(forward_context& context, admitted_request& request,
@@ -324,6 +343,27 @@
   }
 }
 
+void request_forwarder::record_answer_lost(const std::string& server,
+                                           const std::string& address) {
+  context_.end_check.answer_lost(
+      server, address,
+      identify_request(context_.hash, request_.caller,
+                       request_.resolved.organisation()));
+}
+
+void request_forwarder::record_answered(time_point sent_at) {
+  for (const std::string& key : quarantine_keys(context_, request_)) {
+    if (is_request_identity(key)) {
+      context_.quarantine.record_answer(key, sent_at, runtime_clock::now());
+    }
+  }
+}
+
+bool request_forwarder::in_doubt() {
+  return possible_executions_ > 0 &&
+         context_.quarantine.in_doubt(quarantine_keys(context_, request_));
+}
+
 std::optional<time_point> request_forwarder::take_retry() {
   const std::string& to = service().name;
   const std::size_t processes = context_.processes();
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -18,8 +18,10 @@
 #include "gateway/memory_queue.h"
 #include "gateway/placement_client.h"
 #include "gateway/prompt_quarantine.h"
+#include "gateway/request_identity.h"
 #include "gateway/resolution.h"
 #include "gateway/retry_budget.h"
+#include "gateway/server_end_check.h"
 #include "gateway/server_limits.h"
 #include "gateway/server_list.h"
 #include "net/http_pool.h"
@@ -73,6 +75,8 @@
                      const allowance_grant& of)>
       refund;
   prompt_quarantine& quarantine;
+  server_end_check& end_check;
+  keyed_hash hash;  ///< of identities of requests
   server_limits& limits;
   /// Takes requests of the limit that a server named, shared by all gateways.
   /// They may be waited for up to `max_wait`. Calls `done` once, possibly
@@ -189,6 +193,14 @@
   /// Reports that a server has not answered in time, to the server list and to
   /// the fleet, and logs an ejection. The request goes on there.
   void report_silence(const std::string& server);
+  /// Records that the answer of a server was lost before it had gone on.
+  void record_answer_lost(const std::string& server,
+                          const std::string& address);
+  /// Records that a server answered the request, which was sent at `sent_at`.
+  void record_answered(time_point sent_at);
+  /// Returns whether the request, or a part of its prompt, may have ended a
+  /// server that it was sent to.
+  bool in_doubt();
   /// Calls `expired` after a span unless the timer is cancelled before.
   void start_timer(runtime_timer& timer, duration span,
                    std::function<void()> expired);
@@ -226,14 +238,17 @@
 void refund_allowance(const forward_context& context,
                       admitted_request& request);
 
-/// Why a prompt with a quarantined part is not sent to servers.
-constexpr const char* prompt_quarantined_reason = "prompt_quarantined";
+/// Why a request is not sent to servers.
+struct quarantine_refusal {
+  const char* reason;
+  duration left;  ///< of the quarantine
+};
 
-/// Returns the time for which the request must not be sent to a server, since a
-/// part of its prompt is quarantined, and adds that to its trail; nothing if
-/// the request may be sent.
-std::optional<duration> find_quarantine(forward_context& context,
-                                        admitted_request& request);
+/// Returns why the request must not be sent to a server, since it or a part of
+/// its prompt is quarantined, and adds that to its trail; nothing if the
+/// request may be sent.
+std::optional<quarantine_refusal> find_quarantine(forward_context& context,
+                                                  admitted_request& request);
 
 /// Sends a refusal to the caller of a request that was not forwarded, and logs
 /// it.
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -16,6 +16,7 @@
 #include "gateway/serving_time.h"
 #include "gateway/stage_controller.h"
 #include "gateway/startup_queue.h"
+#include "net/connection_check.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -35,6 +36,8 @@
 // Time before the end of a draining process at which the last requests in
 // progress are answered, so that the responses reach their callers.
 constexpr duration last_response_margin = milliseconds(250);
+// A server that ended refuses a connection at once.
+constexpr duration end_check_timeout = milliseconds(200);
 // Another process may serve the request at once.
 constexpr duration retry_while_draining{};
 // Callers that are refused for want of a configuration may retry after this.
@@ -92,6 +95,12 @@
         routing_table_(
             std::make_shared<const routing_table>(gateway_configuration{})),
         quarantine_sync_(process, cluster_, quarantine_),
+        end_check_(quarantine_,
+                   [&loop = process.loop](const std::string& address,
+                                          std::function<void(bool)> done) {
+                     check_refused(loop, address, end_check_timeout,
+                                   std::move(done));
+                   }),
         context_{process.loop,
                  codec_,
                  pool_,
@@ -112,6 +121,10 @@
                                              grant);
                  },
                  quarantine_,
+                 end_check_,
+                 [&peers = process.peers](const std::string& text) {
+                   return peers.make_mac(text);
+                 },
                  limits_,
                  [this](const std::string& server, double requests,
                         duration max_wait,
@@ -194,6 +207,7 @@
   response_memory_budget responses_;
   prompt_quarantine quarantine_;
   quarantine_sync quarantine_sync_;
+  server_end_check end_check_;
   forward_context context_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> readiness_;
@@ -440,16 +454,14 @@
 
 // Refuses the request before it takes any allowance.
 bool gateway_role::refuse_quarantined(admitted_request& request) {
-  if (!request.resolved.route().stream) {
-    return false;
-  }
-  const auto left = find_quarantine(context_, request);
-  if (!left) {
+  const auto refusal = find_quarantine(context_, request);
+  if (!refusal) {
     return false;
   }
-  send_refusal(context_, request, status_unavailable, prompt_quarantined_reason,
-               suggest_retry_after(
-                   *left, request.deadline - runtime_clock::now(), random_));
+  send_refusal(
+      context_, request, status_unavailable, refusal->reason,
+      suggest_retry_after(refusal->left,
+                          request.deadline - runtime_clock::now(), random_));
   return true;
 }
 
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -61,10 +61,12 @@
 
 // The request as sent to one server.
 struct server_attempt {
-  server_attempt(std::string id, time_point now, response_memory_budget& budget)
-      : server(std::move(id)), sent_at(now), response(budget) {}
+  server_attempt(const listed_server& to, time_point now,
+                 response_memory_budget& budget)
+      : server(to.id), address(to.address), sent_at(now), response(budget) {}
 
   std::string server;  // id
+  std::string address;
   time_point sent_at;
   bool silent = false;
   bool silence_reported = false;  // as a loss
@@ -210,9 +212,15 @@
                       std::move(ended));
   }
 
-  // Returns false if the request must not be sent again.
+  // Returns false if the request must not be sent again, or at all.
   bool send_to(const chosen_server& chosen) {
     const listed_server& server = chosen.server;
+    const auto refusal = find_quarantine(context(), request());
+    if (refusal) {
+      quarantine_reason_ = refusal->reason;
+      retry_after_ = refusal->left;
+      return false;
+    }
     if (!begin_attempt(server.id)) {
       return false;
     }
@@ -228,7 +236,7 @@
     pooled_call pooled = call_for_request(server.address);
     pooled.max_body_bytes = max_response_bytes;
     running_.push_back(std::make_unique<server_attempt>(
-        server.id, now, context().response_budget));
+        server, now, context().response_budget));
     server_attempt& attempt = *running_.back();
     attempt.call = context().pool.start(
         std::move(pooled), context().codec.make_call(request().caller, call),
@@ -256,6 +264,9 @@
                                std::string(failure.status.message()),
                                failure.sent));
       attempt.report.sent = failure.sent;
+      if (failure.sent) {
+        record_answer_lost(attempt.server, attempt.address);
+      }
       finish_attempt(attempt, failure.sent ? server_result::failed
                                            : server_result::unreachable);
     };
@@ -290,7 +301,7 @@
         }
       }
     }
-    if (may_send && !searching_) {
+    if (may_send && !searching_ && !in_doubt()) {
       search(true);
     }
   }
@@ -317,6 +328,9 @@
     }
     adopt_attempt(attempt.server);
     const server_result result = record_response(answer, attempt.report);
+    if (result != server_result::refused) {
+      record_answered(attempt.sent_at);
+    }
     if (result == server_result::error) {
       error_servers_.push_back(attempt.server);
     } else if (result == server_result::served) {
@@ -364,6 +378,12 @@
       end_without_retry(next, std::move(ended));
       return;
     }
+    if (in_doubt()) {
+      add_to_trail("request_in_doubt");
+      end_without_retry(decide_without_retry(ended->report, progress()),
+                        std::move(ended));
+      return;
+    }
     last_attempt_ = std::move(ended);
     if (!searching_) {
       search(last_attempt_->report.sent);
@@ -406,9 +426,10 @@
   }
 
   const char* refusal_reason() const {
-    return attempts_ > 0              ? "servers_refused"
-           : limited_servers_.empty() ? "no_server"
-                                      : "servers_limited";
+    return quarantine_reason_ != nullptr ? quarantine_reason_
+           : attempts_ > 0               ? "servers_refused"
+           : limited_servers_.empty()    ? "no_server"
+                                         : "servers_limited";
   }
 
   void respond_or_refuse(attempt_decision next,
@@ -437,7 +458,8 @@
   bool searching_ = false;    // for a server
   bool takes_retry_ = false;  // the search does
   std::optional<time_point> retry_taken_at_;
-  std::set<std::string> limited_servers_;  // ids; asked in this search
+  const char* quarantine_reason_ = nullptr;  // if it is quarantined
+  std::set<std::string> limited_servers_;    // ids; asked in this search
   // Ended while no other was under way; the search replaces it.
   std::unique_ptr<server_attempt> last_attempt_;
   // Oldest first. All but the last one are silent.
--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/request_identity.h"
 #include "policy/rendezvous.h"
 
 namespace citronwharf {
@@ -41,7 +42,8 @@
 }
 
 duration prompt_quarantine::span(const quarantine& of) const {
-  duration out = options_.initial_span;
+  duration out =
+      of.of_request ? options_.initial_request_span : options_.initial_span;
   for (std::int64_t i = 1; i < of.count && out < options_.max_span; ++i) {
     out *= 2;
   }
@@ -153,6 +155,112 @@
   }
 }
 
+void prompt_quarantine::record_request_end(const std::string& server,
+                                           const std::string& request,
+                                           time_point now) {
+  expire(now);
+  bool changed = false;
+  server_end& end = find_end(server, now, changed);
+  if (end.requests.size() < options_.max_suspects) {
+    changed = end.requests.insert(request).second || changed;
+  }
+  changed = evaluate(now) || changed;
+  if (changed) {
+    notify();
+  }
+}
+
+void prompt_quarantine::record_answer(const std::string& request,
+                                      time_point sent_at, time_point now) {
+  bool changed = false;
+  for (server_end& each : ends_) {
+    if (each.at < sent_at && contains(each.requests, request)) {
+      changed = each.settled.insert(request).second || changed;
+    }
+  }
+  changed = release_answered(request, sent_at, now) || changed;
+  if (changed) {
+    notify();
+  }
+}
+
+bool prompt_quarantine::knows_requests() const {
+  return std::any_of(quarantines_.begin(), quarantines_.end(),
+                     [](const auto& each) { return each.second.of_request; }) ||
+         std::any_of(ends_.begin(), ends_.end(), [](const server_end& each) {
+           return !each.requests.empty();
+         });
+}
+
+bool prompt_quarantine::knows_request(const std::string& prefix) const {
+  const auto begins = [&prefix](const std::string& id) {
+    return id.compare(0, prefix.size(), prefix) == 0;
+  };
+  const auto held = quarantines_.lower_bound(prefix);
+  return (held != quarantines_.end() && begins(held->first)) ||
+         std::any_of(ends_.begin(), ends_.end(), [&](const server_end& each) {
+           const auto found = each.requests.lower_bound(prefix);
+           return found != each.requests.end() && begins(*found);
+         });
+}
+
+// Returns whether this ended the quarantine of the part or request.
+bool prompt_quarantine::release_answered(const std::string& part,
+                                         time_point began_at, time_point now) {
+  const auto found = quarantines_.find(part);
+  if (found == quarantines_.end() || found->second.released ||
+      found->second.started_at >= began_at) {
+    return false;
+  }
+  found->second.released = true;
+  changes_.push_back({quarantine_change::kind::released, part, "", 0,
+                      to_ms(now - found->second.started_at)});
+  return true;
+}
+
+// Counts the ends of servers that speak against a request.
+std::size_t prompt_quarantine::count_ends(const std::string& request) const {
+  return static_cast<std::size_t>(
+      std::count_if(ends_.begin(), ends_.end(), [&](const server_end& each) {
+        return contains(each.requests, request) &&
+               !contains(each.settled, request);
+      }));
+}
+
+// A request whose quarantine has ended is quarantined again at the first end.
+bool prompt_quarantine::quarantine_requests(time_point now) {
+  std::set<std::string> requests;
+  for (const server_end& each : ends_) {
+    requests.insert(each.requests.begin(), each.requests.end());
+  }
+  bool changed = false;
+  for (const std::string& each : requests) {
+    const std::size_t ends = count_ends(each);
+    const auto found = quarantines_.find(each);
+    const bool known = found != quarantines_.end();
+    if (ends == 0 || (known && holds(found->second, now))) {
+      continue;
+    }
+    const bool again = known && on_probation(found->second, now);
+    if (again || ends >= options_.min_request_ends) {
+      suspicion which;
+      which.part = each;
+      which.ends = ends;
+      changed = start_quarantine(which, now);
+      settle(each);
+    }
+  }
+  return changed;
+}
+
+void prompt_quarantine::settle(const std::string& request) {
+  for (server_end& each : ends_) {
+    if (contains(each.requests, request)) {
+      each.settled.insert(request);
+    }
+  }
+}
+
 void prompt_quarantine::remember_sound(const std::string& part,
                                        time_point began_at) {
   if (sound_parts_.size() >= options_.max_sound_parts &&
@@ -188,14 +296,7 @@
         changed = each.cleared.insert(part).second || changed;
       }
     }
-    const auto found = quarantines_.find(part);
-    if (found != quarantines_.end() && !found->second.released &&
-        found->second.started_at < began_at) {
-      found->second.released = true;
-      changes_.push_back({quarantine_change::kind::released, part, "", 0,
-                          to_ms(now - found->second.started_at)});
-      changed = true;
-    }
+    changed = release_answered(part, began_at, now) || changed;
   }
   if (changed) {
     notify();
@@ -245,7 +346,7 @@
   std::size_t all = 0;
   time_point last{};
   for (const server_end& end : ends_) {
-    if (!end.explained && end.at >= of.first &&
+    if (!end.explained && !end.suspects.empty() && end.at >= of.first &&
         (all == 0 || end.at - last >= options_.min_end_distance)) {
       ++all;
       last = end.at;
@@ -259,12 +360,15 @@
 bool prompt_quarantine::explain_ends(time_point now) {
   bool changed = false;
   for (server_end& end : ends_) {
-    const bool explained = std::any_of(
-        end.suspects.begin(), end.suspects.end(), [&](const auto& part) {
-          const auto found = quarantines_.find(part);
-          return found != quarantines_.end() && holds(found->second, now) &&
-                 !contains(end.cleared, part);
-        });
+    const auto held = [&](const std::string& part) {
+      const auto found = quarantines_.find(part);
+      return found != quarantines_.end() && holds(found->second, now) &&
+             !contains(end.cleared, part);
+    };
+    const bool explained =
+        std::any_of(end.suspects.begin(), end.suspects.end(), held) ||
+        (!end.explained &&
+         std::any_of(end.requests.begin(), end.requests.end(), held));
     const bool settled = now - end.at >= options_.settled_after &&
                          !end.explained &&
                          end.cleared.size() == end.suspects.size();
@@ -305,6 +409,7 @@
     quarantines_.erase(oldest);
   }
   quarantine& of = quarantines_[which.part];
+  of.of_request = is_request_identity(which.part);
   ++of.count;
   of.started_at = now;
   of.released = false;
@@ -383,7 +488,8 @@
 
 bool prompt_quarantine::evaluate(time_point now) {
   evaluate_at_ = time_point::max();
-  bool changed = explain_ends(now);
+  bool changed = quarantine_requests(now);
+  changed = explain_ends(now) || changed;
   for (;;) {
     bool quarantined_any = quarantine_again(now);
     if (!quarantined_any) {
@@ -437,7 +543,8 @@
 
 bool prompt_quarantine::in_doubt(const std::vector<std::string>& parts) const {
   return std::any_of(parts.begin(), parts.end(), [this](const auto& part) {
-    return contains(reported_suspects_, part);
+    return is_request_identity(part) ? count_ends(part) > 0
+                                     : contains(reported_suspects_, part);
   });
 }
 
@@ -453,7 +560,8 @@
   for (const server_end& each : ends_) {
     out.ends.push_back({each.server, to_ms(now - each.at), each.explained,
                         to_vector(each.suspects), to_vector(each.sound),
-                        to_vector(each.cleared)});
+                        to_vector(each.cleared), to_vector(each.requests),
+                        to_vector(each.settled)});
   }
   for (const auto& [part, each] : quarantines_) {
     out.parts.push_back(
@@ -477,6 +585,7 @@
     // No part is quarantined so often; the longest span is reached before.
     constexpr std::int64_t max_count = 1000;
     quarantine added;
+    added.of_request = is_request_identity(each.part);
     added.count = std::clamp<std::int64_t>(each.count, 1, max_count);
     added.started_at =
         now - milliseconds(std::max<std::int64_t>(
@@ -514,6 +623,17 @@
     }
     server_end& end = find_end(bounded_id(each.server),
                                now - milliseconds(each.age_ms), changed);
+    for (const std::string& request : each.requests) {
+      if (is_request_identity(request) &&
+          end.requests.size() < options_.max_suspects) {
+        changed = end.requests.insert(bounded_id(request)).second || changed;
+      }
+    }
+    for (const std::string& request : each.settled) {
+      if (contains(end.requests, request)) {
+        changed = end.settled.insert(request).second || changed;
+      }
+    }
     if (end.explained) {
       continue;
     }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -1,6 +1,7 @@
 /// Finds the parts of prompts that crash each server that begins to answer
-/// them, from the ends of servers that the gateways of a fleet have seen, and
-/// keeps requests with such a part from servers.
+/// them, and single requests that crash each server that begins to run them,
+/// from the ends of servers that the gateways of a fleet have seen, and keeps
+/// such requests from servers.
 #ifndef CITRONWHARF_GATEWAY_PROMPT_QUARANTINE_H_
 #define CITRONWHARF_GATEWAY_PROMPT_QUARANTINE_H_
 
@@ -30,13 +31,18 @@
   std::vector<std::string> suspects;
   std::vector<std::string> sound;    ///< suspects answered before the end
   std::vector<std::string> cleared;  ///< suspects answered after the end
+  /// Identities of the requests that ran. Kept if the end is explained.
+  std::vector<std::string> requests;
+  /// Requests against which the end no longer speaks: answered after the end,
+  /// or quarantined.
+  std::vector<std::string> settled;
 };
 CITRONWHARF_VALUE(server_end_state, server, age_ms, explained, suspects, sound,
-                  cleared)
+                  cleared, requests, settled)
 
-/// The quarantine of a part, as gateways exchange it.
+/// The quarantine of a part or of a request, as gateways exchange it.
 struct part_quarantine_state {
-  std::string part;
+  std::string part;        ///< or the identity of a request
   std::int64_t count = 0;  ///< how often the part was quarantined
   std::int64_t age_ms = 0;
   bool released = false;
@@ -65,6 +71,9 @@
 struct quarantine_options {
   /// Ends of servers that speak against a part before it is quarantined.
   std::size_t min_ends = 4;
+  /// Ends of servers that speak against a single request before it is
+  /// quarantined. Few share its identity, and each answer clears it.
+  std::size_t min_request_ends = 2;
   /// Ends of servers after which a request is not sent to a second server.
   std::size_t doubtful_ends = 2;
   /// The share of all ends that a part has to be a suspect of. In a fault that
@@ -90,9 +99,10 @@
   duration settled_after = seconds(10);
   duration end_lifetime = std::chrono::minutes(10);
   duration initial_span = std::chrono::minutes(5);
+  duration initial_request_span = seconds(30);
   duration max_span = std::chrono::hours(1);
   std::size_t max_ends = 64;
-  std::size_t max_suspects = 128;  ///< of one end
+  std::size_t max_suspects = 128;  ///< of one end; also of requests
   std::size_t max_parts = 256;     ///< in quarantine
   std::size_t max_sound_parts = 2048;
 };
@@ -104,7 +114,8 @@
 /// A part is a suspect of an end if an answer on it was lost with the server
 /// before it had gone on. Each answer on the part that goes on clears the part
 /// of all ends before it. A quarantined part explains the ends of which it is a
-/// suspect, so that these no longer speak against other parts.
+/// suspect, so that these no longer speak against other parts. A quarantined
+/// request explains the ends under it likewise.
 ///
 /// Designed for this load: all engines of a service end and start again within
 /// seconds while most requests share some of their parts. States of several
@@ -130,15 +141,27 @@
   void record_progress(const std::vector<std::string>& parts,
                        time_point began_at, time_point now);
 
+  /// Records that a server ended while it ran a request with this identity,
+  /// before it had answered.
+  void record_request_end(const std::string& server, const std::string& request,
+                          time_point now);
+  /// Records that a request that was sent at `sent_at` was answered.
+  void record_answer(const std::string& request, time_point sent_at,
+                     time_point now);
+  /// Returns whether the identity of any request is known.
+  bool knows_requests() const;
+  /// Returns whether anything is known of an identity that begins so.
+  bool knows_request(const std::string& prefix) const;
+
   struct found_part {
     std::string part;
     duration left{};
   };
-  /// Returns a quarantined part among these.
+  /// Returns a quarantined part or request among these.
   std::optional<found_part> find_quarantined(
       const std::vector<std::string>& parts, time_point now);
-  /// Returns whether one of these parts is suspected so much that the request
-  /// should not be sent to a second server.
+  /// Returns whether one of these parts, or the request, is suspected so much
+  /// that the request should not be sent to a second server.
   bool in_doubt(const std::vector<std::string>& parts) const;
   /// Returns the number of parts in quarantine.
   std::size_t quarantined(time_point now) const;
@@ -157,8 +180,11 @@
     std::set<std::string> suspects;
     std::set<std::string> sound;
     std::set<std::string> cleared;
+    std::set<std::string> requests;
+    std::set<std::string> settled;
   };
   struct quarantine {
+    bool of_request = false;
     std::int64_t count = 0;
     time_point started_at;
     bool released = false;
@@ -187,12 +213,17 @@
   bool is_candidate(const suspicion& of) const;
   bool explain_ends(time_point now);
   bool quarantine_again(time_point now);
+  std::size_t count_ends(const std::string& request) const;
+  bool quarantine_requests(time_point now);
+  void settle(const std::string& request);
   bool start_quarantine(const suspicion& which, time_point now);
   std::vector<suspicion> choose_candidates(time_point now);
   std::vector<suspicion> choose_sound_candidate(time_point now);
   bool evaluate(time_point now);
   void expire(time_point now);
   void remember_sound(const std::string& part, time_point began_at);
+  bool release_answered(const std::string& part, time_point began_at,
+                        time_point now);
   void report_suspects();
   void report_merged(const std::string& part, const quarantine& of,
                      time_point now);
--- /dev/null
+++ b/src/gateway/request_identity.cc
@@ -0,0 +1,33 @@
+#include "gateway/request_identity.h"
+
+namespace citronwharf {
+namespace {
+
+constexpr const char* marker = "r:";
+// 96 bits each.
+constexpr std::size_t hash_digits = 24;
+
+}  // namespace
+
+std::string identity_prefix(const keyed_hash& hash,
+                            const caller_request& request,
+                            const std::string& organisation) {
+  // None of these contains a line break.
+  const std::string text = organisation + "\n" + request.host + "\n" +
+                           request.message.method + "\n" +
+                           request.message.target;
+  return marker + hash(text).substr(0, hash_digits);
+}
+
+std::string identify_request(const keyed_hash& hash,
+                             const caller_request& request,
+                             const std::string& organisation) {
+  return identity_prefix(hash, request, organisation) +
+         hash(request.message.body).substr(0, hash_digits);
+}
+
+bool is_request_identity(const std::string& id) {
+  return id.rfind(marker, 0) == 0;
+}
+
+}  // namespace citronwharf
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -173,31 +173,32 @@
   // Ends the request if a part of its prompt has been quarantined. Called
   // before each call that carries the prompt.
   bool end_if_quarantined() {
-    const auto left = find_quarantine(context(), request());
-    if (!left) {
+    const auto refusal = find_quarantine(context(), request());
+    if (!refusal) {
       return false;
     }
     const request_progress at = progress();
     const bool not_run = at.possible_executions == 0 && !at.may_be_running;
     stop();
     if (stream_started_) {
-      finish(status_bad_gateway, prompt_quarantined_reason, false);
+      finish(status_bad_gateway, refusal->reason, false);
     } else if (not_run) {
-      refuse_not_run(prompt_quarantined_reason, left);
+      refuse_not_run(refusal->reason, refusal->left);
     } else {
-      fail_unknown(status_bad_gateway, prompt_quarantined_reason);
+      fail_unknown(status_bad_gateway, refusal->reason);
     }
     return true;
   }
 
   // An answer was lost with its engine. Only one that had just begun says
   // something about its prompt.
-  void record_end(const std::string& server, std::int64_t events) {
+  void record_end(const listed_server& server, std::int64_t events) {
     constexpr std::int64_t max_begun_events = 1;
     if (events <= max_begun_events) {
       context().metrics.add("citronwharf_gateway_begun_answers_lost_total",
                             {{"service", service().name}});
-      context().quarantine.record_end(server, parts_, runtime_clock::now());
+      context().quarantine.record_end(server.id, parts_, runtime_clock::now());
+      record_answer_lost(server.id, server.address);
     }
   }
 
@@ -206,14 +207,10 @@
     if (!std::exchange(sound_answer_recorded_, true)) {
       context().quarantine.record_progress(parts_, pace_started_at_,
                                            runtime_clock::now());
+      record_answered(call_.sent_at);
     }
   }
 
-  // A part of the prompt may have ended an engine already.
-  bool in_doubt() {
-    return possible_executions_ > 0 && context().quarantine.in_doubt(parts_);
-  }
-
   void on_found(const found_engines& found) {
     if (replacing_) {
       send_replacement(found);
@@ -278,6 +275,9 @@
     if (!response.ok()) {
       add_to_trail(fmt::format("prefill_lost({})",
                                std::string(response.status().message())));
+      if (sent) {
+        record_answer_lost(prefill_server_.id, prefill_server_.address);
+      }
       search_->observe(prefill_server_.id, sent ? engine_signal::failed
                                                 : engine_signal::unreachable);
       end_call(call_,
@@ -453,7 +453,7 @@
                              failure.sent));
     report_.sent = report_.sent || failure.sent;
     if (failure.sent) {
-      record_end(last_server_, events_from_engine_);
+      record_end(engines_.decode, events_from_engine_);
     }
     search_->observe(last_server_, failure.sent ? engine_signal::failed
                                                 : engine_signal::unreachable);
@@ -596,7 +596,7 @@
       drop_replacement(server_result::unreachable, engine_signal::unreachable);
       return;
     }
-    record_end(replacement_call_.server, 0);
+    record_end(replacement_.decode, 0);
     ++possible_executions_;
     drop_replacement(server_result::failed, engine_signal::failed);
   }
@@ -794,7 +794,7 @@
       if (!is_stream_complete()) {
         add_to_trail(events_from_engine_ == 0 ? "ended_without_event"
                                               : "ended_in_event");
-        record_end(last_server_, events_from_engine_);
+        record_end(engines_.decode, events_from_engine_);
         finish_attempt(server_result::failed);
         return;
       }
@@ -810,6 +810,9 @@
     }
     const server_answer answer = context().codec.read_answer(head_);
     const server_result result = record_response(answer, report_);
+    if (result != server_result::refused) {
+      record_answered(call_.sent_at);
+    }
     if (result == server_result::error) {
       context().health.error(last_server_);
       search_->observe(last_server_, engine_signal::failed);
--- a/src/net/handshake.cc
+++ b/src/net/handshake.cc
@@ -27,6 +27,15 @@
   return to_hex(bytes.data(), bytes.size());
 }
 
+std::string make_mac(const std::string& secret, const std::string& text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned size = 0;
+  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       digest.data(), &size);
+  return to_hex(digest.data(), size);
+}
+
 absl::StatusOr<session_proof> make_proof(const std::string& secret,
                                          bool dialled, const session_hello& own,
                                          const session_hello& peer) {
@@ -36,12 +45,7 @@
   } catch (const nlohmann::json::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned size = 0;
-  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-       digest.data(), &size);
-  return session_proof{to_hex(digest.data(), size)};
+  return session_proof{make_mac(secret, text)};
 }
 
 bool same_proof(const session_proof& lhs, const session_proof& rhs) {
--- a/src/net/handshake.h
+++ b/src/net/handshake.h
@@ -37,6 +37,9 @@
 /// Returns a fresh nonce from the cryptographic random number generator.
 std::string make_nonce();
 
+/// Returns the HMAC-SHA256 of a text, 64 hex digits. Thread-safe.
+std::string make_mac(const std::string& secret, const std::string& text);
+
 /// Returns the proof of the end that sent the hello `own`. `dialled` tells the
 /// two ends apart, so that neither can replay the other's proof. Returns
 /// InvalidArgument if a hello is not UTF-8. Thread-safe.
--- a/src/net/peer_hub.cc
+++ b/src/net/peer_hub.cc
@@ -88,6 +88,9 @@
   void forget(const std::string& name);
   void connect_address(const std::string& address);
   absl::Status send(const std::string& name, const frame& out);
+  std::string make_mac(const std::string& text) const {
+    return citronwharf::make_mac(options_.secret, text);
+  }
   std::uint64_t session_incarnation(const std::string& name) const;
   void end_session(const std::string& name, const absl::Status& why);
   void close();
@@ -641,6 +644,9 @@
   }
   return impl_->send(to.name, out);
 }
+std::string peer_hub::make_mac(const std::string& text) const {
+  return impl_->make_mac(text);
+}
 std::uint64_t peer_hub::session_incarnation(const std::string& name) const {
   return impl_->session_incarnation(name);
 }
--- a/src/net/peer_hub.h
+++ b/src/net/peer_hub.h
@@ -80,6 +80,10 @@
   /// reply could have the id of another message.
   absl::Status reply(const peer_id& to, const frame& out);
 
+  /// Returns the HMAC of a text with the deployment's secret, in hex: the same
+  /// in all processes of the deployment.
+  std::string make_mac(const std::string& text) const;
+
   /// Returns the incarnation of the peer `name`, or 0 if no session to it is
   /// up.
   std::uint64_t session_incarnation(const std::string& name) const;
