--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -372,18 +372,15 @@
       wait_for_others(std::move(ended));
       return;
     }
-    const attempt_decision next =
-        decide_after_attempt(ended->report, progress());
+    attempt_decision next = decide_after_attempt(ended->report, progress());
+    if (next == attempt_decision::retry && in_doubt()) {
+      add_to_trail("request_in_doubt");
+      next = decide_without_retry(ended->report, progress());
+    }
     if (next != attempt_decision::retry) {
       end_without_retry(next, std::move(ended));
       return;
     }
-    if (in_doubt()) {
-      add_to_trail("request_in_doubt");
-      end_without_retry(decide_without_retry(ended->report, progress()),
-                        std::move(ended));
-      return;
-    }
     last_attempt_ = std::move(ended);
     if (!searching_) {
       search(last_attempt_->report.sent);
