--- a/test/gateway-crashing-request-test.cc
+++ b/test/gateway-crashing-request-test.cc
@@ -53,24 +53,7 @@
     list_servers();
     start_leader();
     start_follower();
-    const auto route = [](const char* name, const char* prefix,
-                          const char* kind, const char* service) {
-      return json{{"name", name},         {"host", "a.example"},
-                  {"pathPrefix", prefix}, {"kind", kind},
-                  {"timeoutMs", 1500},    {"goalMs", 500},
-                  {"service", service},   {"attempts", 2},
-                  {"resumable", true},    {"gapTargetMs", 300}};
-    };
-    publish({route("commit", "/c/", "unsafe", "desk"),
-             route("lookup", "/l/", "safe", "desk"),
-             route("stream", "/s/", "stream", "models")},
-            {{{"name", "desk"}},
-             {{"name", "models"},
-              {"engine",
-               {{"slots", 64},
-                {"kvTokens", 500000},
-                {"handleS", 0.5},
-                {"holdMs", 2000}}}}});
+    publish_all(true);
   }
 
   void add_server(const std::string& service, int number) {
--- a/test/gateway-server-limit-test.cc
+++ b/test/gateway-server-limit-test.cc
@@ -121,24 +121,7 @@
   void start_all() {
     start_leader();
     start_follower();
-    const auto route = [](const char* name, const char* prefix,
-                          const char* kind, const char* service) {
-      return json{{"name", name},         {"host", "a.example"},
-                  {"pathPrefix", prefix}, {"kind", kind},
-                  {"timeoutMs", 1500},    {"goalMs", 500},
-                  {"service", service},   {"attempts", 2},
-                  {"resumable", false},   {"gapTargetMs", 300}};
-    };
-    publish({route("commit", "/c/", "unsafe", "desk"),
-             route("lookup", "/l/", "safe", "desk"),
-             route("stream", "/s/", "stream", "models")},
-            {{{"name", "desk"}},
-             {{"name", "models"},
-              {"engine",
-               {{"slots", 64},
-                {"kvTokens", 500000},
-                {"handleS", 0.5},
-                {"holdMs", 2000}}}}});
+    publish_all();
   }
 
   // Sends requests to both gateways in turn and waits until all have ended.
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -56,12 +56,39 @@
     instances.push_back(std::move(entry));
   }
 
+  static json route(const char* name, const char* prefix, const char* kind,
+                    const char* service, bool resumable = false) {
+    return {{"name", name},           {"host", "a.example"},
+            {"pathPrefix", prefix},   {"kind", kind},
+            {"timeoutMs", 1500},      {"goalMs", 500},
+            {"service", service},     {"attempts", 2},
+            {"resumable", resumable}, {"gapTargetMs", 300}};
+  }
+
+  /// Publishes routes to a plain service and to one of engines.
+  void publish_all(bool resumable = false) {
+    publish({route("commit", "/c/", "unsafe", "desk"),
+             route("lookup", "/l/", "safe", "desk"),
+             route("stream", "/s/", "stream", "models", resumable)},
+            {{{"name", "desk"}},
+             {{"name", "models"},
+              {"engine",
+               {{"slots", 64},
+                {"kvTokens", 500000},
+                {"handleS", 0.5},
+                {"holdMs", 2000}}}}});
+  }
+
   /// Publishes these routes and services, with an organisation that has the key
-  /// k1, and waits until both gateways are ready.
-  void publish(json routes, json services) {
-    const json tenant{{"name", "t1"},        {"apiKeys", {"k1"}},
-                      {"unit", "tokens"},    {"plainTokens", 200},
-                      {"ratePerS", 1000000}, {"burst", 1000000}};
+  /// k1 and this allowance, and waits until both gateways are ready.
+  void publish(json routes, json services, int tokens_per_second = 1000000,
+               int burst = 1000000) {
+    const json tenant{{"name", "t1"},
+                      {"apiKeys", {"k1"}},
+                      {"unit", "tokens"},
+                      {"plainTokens", 200},
+                      {"ratePerS", tokens_per_second},
+                      {"burst", burst}};
     const json state{{"version", 1},
                      {"routes", std::move(routes)},
                      {"services", std::move(services)},
