--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -1,8 +1,8 @@
 // Randomized soak test: four gateways run as real processes on loopback
 // addresses. They are killed, paused, suspended around their timeouts and
 // drained or lose their disks while operators publish and move routes, callers
-// send requests and generations, servers leave, refuse requests and lose
-// responses, and engines answer late, refuse, break off and go silent.
+// send requests and generations, servers leave, name limits, refuse requests
+// and lose responses, and engines answer late, refuse, break off and go silent.
 // CITRONWHARF_SOAK_SEEDS="1 2 3" runs other seeds, CITRONWHARF_SOAK_SECONDS
 // sets the duration of each. A failure prints faults and requests with their
 // times.
@@ -46,6 +46,12 @@
 constexpr std::chrono::milliseconds retry_after_span(1000);
 constexpr std::chrono::milliseconds retry_after_grace(500);
 constexpr int max_sends_during_retry_after = 2;
+// The requests a second that a server in need names, and the most that it may
+// get in a window, unless a gateway was disrupted shortly before.
+constexpr int server_limit = 20;
+constexpr std::chrono::seconds limit_window(4);
+constexpr std::size_t max_in_limit_window = 125;
+constexpr std::chrono::seconds limit_learning_time(3);
 constexpr const char* withdrawn_id = "withdrawn";
 constexpr std::size_t max_withdrawn_calls = 200;
 
@@ -66,7 +72,8 @@
 
 class soak {
  public:
-  explicit soak(std::uint64_t seed) : random_(seed), traffic_random_(seed) {
+  explicit soak(std::uint64_t seed)
+      : random_(seed), traffic_random_(seed), limit_random_(seed) {
     directory_server_.answers =
         [this](const http_request&, std::unique_ptr<http_exchange> exchange) {
           json entries = json::array();
@@ -183,6 +190,9 @@
     std::string id;
     bool leaving = false;
     bool refusing = false;
+    bool limited = false;
+    std::optional<steady::time_point> limit_named;
+    std::deque<steady::time_point> limited_arrivals;  // in the last window
     std::map<int, gateway_view> by_gateway;
   };
 
@@ -254,6 +264,9 @@
       resume(*paused_);
       paused_.reset();
     }
+    if (test::random_below(limit_random_, 4) == 0) {
+      toggle_limit(*servers_[test::random_below(limit_random_, server_count)]);
+    }
     const int index = random_below(gateway_count);
     const int fault = random_below(7);
     if (fault < 4) {
@@ -404,9 +417,52 @@
     in.leaving = true;
   }
 
+  // At most one server is limited at a time.
+  void toggle_limit(service_server& in) {
+    for (const auto& each : servers_) {
+      if (each->limited && each->id != in.id) {
+        toggle_limit(*each);
+        return;
+      }
+    }
+    in.limited = !in.limited;
+    in.limit_named.reset();
+    in.limited_arrivals.clear();
+    log_.note(fmt::format("{} limit: {}", in.id, in.limited ? "on" : "off"));
+  }
+
+  static void name_limit(const service_server& in,
+                         std::vector<header_field>& headers) {
+    if (in.limited) {
+      headers.push_back({"Server-Limit", std::to_string(server_limit)});
+    }
+  }
+
+  void check_limit(service_server& in) {
+    if (!in.limited) {
+      return;
+    }
+    const auto now = steady::now();
+    if (!in.limit_named) {
+      in.limit_named = now;
+    }
+    if (now < *in.limit_named + limit_learning_time ||
+        now < disrupted_at_ + limit_learning_time) {
+      in.limited_arrivals.clear();
+      return;
+    }
+    in.limited_arrivals.push_back(now);
+    while (in.limited_arrivals.front() < now - limit_window) {
+      in.limited_arrivals.pop_front();
+    }
+    log_.check(in.limited_arrivals.size() <= max_in_limit_window,
+               in.id + " gets more requests than the limit that it named");
+  }
+
   // For a gateway that is paused or restarted: it need not know what servers
   // said before.
   void reset_gateway_views(int gateway) {
+    disrupted_at_ = steady::now();
     for (const auto& each : servers_) {
       check_retry_after(*each);
       each->by_gateway.erase(gateway);
@@ -458,17 +514,18 @@
       exchange->respond(reply(421, "", {{"Citronwharf-Not-Run", "1"}}));
       return;
     }
+    check_limit(target);
     gateway_view& view = target.by_gateway[sent_by_caller.gateway];
     view.reached_at.push_back(steady::now());
     BOOST_TEST(
         (!view.leaving || sent_by_caller.sent < *view.leaving + leaving_grace));
     if (target.refusing) {
       view.refused_at.push_back(steady::now());
-      exchange->respond(
-          reply(503, "",
-                {{"Citronwharf-Not-Run", "1"},
-                 {"Retry-After",
-                  fmt::format("{}", retry_after_span.count() / 1000)}}));
+      std::vector<header_field> headers{
+          {"Citronwharf-Not-Run", "1"},
+          {"Retry-After", fmt::format("{}", retry_after_span.count() / 1000)}};
+      name_limit(target, headers);
+      exchange->respond(reply(503, "", std::move(headers)));
       return;
     }
     ++sent_by_caller.runs;
@@ -480,6 +537,7 @@
     std::vector<header_field> headers{
         {"Citronwharf-Server-Stamp", "s"},
         {"Citronwharf-Request-Id", id_of(request)}};
+    name_limit(target, headers);
     if (target.leaving) {
       headers.push_back({"Server-Leaving", "1"});
       if (!view.leaving) {
@@ -819,6 +877,9 @@
   std::optional<int> draining_;
   steady::time_point drain_until_;
   bool disk_wiped_ = false;
+  // Of limits, so that the faults of a seed stay the same.
+  std::mt19937_64 limit_random_;
+  steady::time_point disrupted_at_{};  // a gateway
   bool drops_responses_ = false;
   int version_ = 0;
   int acknowledged_ = 0;
