--- a/test/gateway-fleet-test.cc
+++ b/test/gateway-fleet-test.cc
@@ -25,8 +25,10 @@
   // Publishes an allowance with this burst and a rate of one token per second,
   // so that hardly any tokens accrue during the test.
   void publish_allowance(int burst) {
-    publish(json::array({route("commit", "/c/", "unsafe", "desk")}),
-            json::array({{{"name", "desk"}}}), 1, burst);
+    json commit = route("commit", "/c/", "unsafe", "desk");
+    commit["attempts"] = 1;
+    commit["goalMs"] = 150;
+    publish(json::array({commit}), json::array({{{"name", "desk"}}}), 1, burst);
   }
 
   fake_server service_server{loop};
--- a/test/gateway-quarantine-fleet-test.cc
+++ b/test/gateway-quarantine-fleet-test.cc
@@ -25,7 +25,9 @@
     list_engine();
     start_leader();
     start_follower();
-    publish_all();
+    json stream = route("stream", "/s/", "stream", "models");
+    stream["attempts"] = 1;
+    publish(json::array({stream}), json::array({engines("models", 8, 50000)}));
   }
 
   void list_engine() {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -70,13 +70,16 @@
     publish({route("commit", "/c/", "unsafe", "desk"),
              route("lookup", "/l/", "safe", "desk"),
              route("stream", "/s/", "stream", "models", resumable)},
-            {{{"name", "desk"}},
-             {{"name", "models"},
-              {"engine",
-               {{"slots", 64},
-                {"kvTokens", 500000},
-                {"handleS", 0.5},
-                {"holdMs", 2000}}}}});
+            {{{"name", "desk"}}, engines("models", 64, 500000)});
+  }
+
+  static json engines(const char* service, int slots, int kv_tokens) {
+    return {{"name", service},
+            {"engine",
+             {{"slots", slots},
+              {"kvTokens", kv_tokens},
+              {"handleS", 0.5},
+              {"holdMs", 2000}}}};
   }
 
   /// Publishes these routes and services, with an organisation that has the key
