Limits of servers: count each server once, usual terms

citronwharf_gateway_limited_servers counted a server once for each kind of response that had named its limit; found by reading. limited() counts servers, with a check in server_limits-test.

Otherwise behaviour unchanged.

--- a/src/gateway/allowance_client.cc
+++ b/src/gateway/allowance_client.cc
@@ -228,8 +228,8 @@
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   const duration wait =
       terms.single_requests
-          ? share_.draw_own_part(ask.account, terms.limit, ask.tokens,
-                                 processes, draw, now)
+          ? share_.take_own_part_at_random(ask.account, terms.limit, ask.tokens,
+                                           processes, draw, now)
           : share_.take_own_part(ask.account, terms.limit, ask.tokens,
                                  processes, draw, now);
   if (wait == duration{} || now >= ask.wait_deadline) {
--- a/src/gateway/fleet_allowance.cc
+++ b/src/gateway/fleet_allowance.cc
@@ -32,9 +32,9 @@
 // Lower bound of the wait for a part that does not suffice: zero means granted,
 // and a missing fraction of a token would round to it.
 constexpr duration min_accrual_wait = milliseconds(1);
-// Share of an account's rate that the gateways draw for without a leader. The
-// sum of their draws varies by chance.
-constexpr double drawn_share = 0.6;
+// Share of an account's rate that the gateways together grant at random without
+// a leader. The rest covers the variance of their sum.
+constexpr double random_grant_share = 0.6;
 // Prefixes of the names of accounts.
 constexpr const char* organisation_prefix = "organisation:";
 constexpr const char* server_prefix = "server:";
@@ -334,7 +334,7 @@
   if (!reply.leads) {
     return;
   }
-  lots_.erase(name);
+  random_parts_.erase(name);
   if (!reply.scarce) {
     last_scarce_at_.erase(name);
     return;
@@ -417,21 +417,19 @@
   spent.last_at = now;
 }
 
-duration fleet_allowance_share::draw_own_part(const std::string& name,
-                                              const allowance& limit,
-                                              double tokens,
-                                              std::size_t processes,
-                                              double draw, time_point now) {
+duration fleet_allowance_share::take_own_part_at_random(
+    const std::string& name, const allowance& limit, double tokens,
+    std::size_t processes, double draw, time_point now) {
   const auto parts = static_cast<double>(std::max<std::size_t>(1, processes));
   allowance part;
-  part.tokens_per_second = limit.tokens_per_second * drawn_share / parts;
+  part.tokens_per_second = limit.tokens_per_second * random_grant_share / parts;
   part.burst_tokens = limit.burst_tokens / parts;
   reserving_bucket& bucket =
-      lots_.emplace(name, reserving_bucket(part, 0, now)).first->second;
+      random_parts_.emplace(name, reserving_bucket(part, 0, now)).first->second;
   bucket.set_limit(part, now);
-  const double stake = std::min(tokens, bucket.available(now));
-  bucket.take(stake, duration::max(), now);
-  if (draw * tokens < stake) {
+  const double available = std::min(tokens, bucket.available(now));
+  bucket.take(available, duration::max(), now);
+  if (draw * tokens < available) {
     add_spending(name, tokens, now);
     return {};
   }
--- a/src/gateway/fleet_allowance.h
+++ b/src/gateway/fleet_allowance.h
@@ -159,7 +159,7 @@
   static duration suggest_retry_wait(account& owner, double tokens,
                                      time_point now);
 
-  std::map<std::string, account> accounts_;  // by account
+  std::map<std::string, account> accounts_;  // by name
   std::set<std::string> accounts_with_queue_;
   time_point leads_since_{};
 };
@@ -195,15 +195,16 @@
   duration take_own_part(const std::string& name, const allowance& limit,
                          double tokens, std::size_t processes, double draw,
                          time_point now);
-  /// Takes tokens for a single request by lot: all that has accrued in the own
-  /// part, at most its part of the burst, is the probability, and is staked. So
-  /// the gateways together take on average no more than accrues and the burst,
+  /// Takes tokens for a single request at random. The part's content, as a
+  /// share of the tokens, is the probability, and is used up either way. So the
+  /// gateways together take on average no more than accrues and the burst,
   /// however many they are and however long they were idle. `draw` is a random
   /// number from [0, 1). Returns zero if the tokens were taken, else the wait
-  /// until another draw is worthwhile.
-  duration draw_own_part(const std::string& name, const allowance& limit,
-                         double tokens, std::size_t processes, double draw,
-                         time_point now);
+  /// until the part is as full as it gets.
+  duration take_own_part_at_random(const std::string& name,
+                                   const allowance& limit, double tokens,
+                                   std::size_t processes, double draw,
+                                   time_point now);
   /// Returns what was granted from the own part since the last call, to be
   /// reported to the leader.
   std::vector<fleet_tokens_spent> take_spent(time_point now);
@@ -228,9 +229,10 @@
   bool is_scarce(const std::string& name, time_point now) const;
   void add_spending(const std::string& name, double tokens, time_point now);
 
-  std::map<std::string, surplus> surplus_;        // by account
-  std::map<std::string, own_part> own_part_;      // by account
-  std::map<std::string, reserving_bucket> lots_;  // by account
+  std::map<std::string, surplus> surplus_;    // by account
+  std::map<std::string, own_part> own_part_;  // by account
+  // By account; for take_own_part_at_random().
+  std::map<std::string, reserving_bucket> random_parts_;
   // When the leader last reported an organisation as scarce.
   std::map<std::string, time_point> last_scarce_at_;
   std::map<std::string, spending> unreported_spending_;  // by account
--- a/src/gateway/health_sync.cc
+++ b/src/gateway/health_sync.cc
@@ -135,7 +135,7 @@
   limits_.keep(listed);
   const std::vector<server_limit_state> limits = limits_.state(now);
   process_.metrics.set("citronwharf_gateway_limited_servers", {},
-                       static_cast<double>(limits.size()));
+                       static_cast<double>(limits_.limited(now)));
   if (cluster_.leads() && !limits.empty()) {
     cluster_.broadcast(limit_notice{limits});
   }
--- a/src/gateway/server_limits.cc
+++ b/src/gateway/server_limits.cc
@@ -1,6 +1,7 @@
 #include "gateway/server_limits.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace citronwharf {
 namespace {
@@ -88,6 +89,12 @@
              : std::nullopt;
 }
 
+std::size_t server_limits::limited(time_point now) const {
+  return static_cast<std::size_t>(
+      std::count_if(limits_.begin(), limits_.end(),
+                    [&](const auto& each) { return holds(each.second, now); }));
+}
+
 void server_limits::keep(const std::set<std::string>& servers) {
   for (auto each = limits_.begin(); each != limits_.end();) {
     each =
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -1,4 +1,5 @@
-/// The request rates that servers in need have named, as known to a gateway.
+/// The limits on requests a second that servers have named, as known to a
+/// gateway.
 #ifndef CITRONWHARF_GATEWAY_SERVER_LIMITS_H_
 #define CITRONWHARF_GATEWAY_SERVER_LIMITS_H_
 
@@ -55,7 +56,7 @@
 
 /// Returns the requests that the fleet sends to a server that named this rate.
 /// A server that names none or next to none still gets a request now and then,
-/// which shows whether it is still in need.
+/// which shows whether it still names a limit.
 allowance to_server_allowance(double requests_per_second);
 
 /// A limit holds until a response of a kind that has named it names none, if
@@ -79,9 +80,12 @@
   /// Returns the requests per second that the server takes from all gateways
   /// together; nothing if it is not limited.
   std::optional<double> rate(const std::string& server, time_point now) const;
+  /// Returns the number of servers with a limit.
+  std::size_t limited(time_point now) const;
   /// Forgets servers that are not among these.
   void keep(const std::set<std::string>& servers);
-  /// Returns the limits in force.
+  /// Returns the limits in force, each once for each kind of response that has
+  /// named it.
   std::vector<server_limit_state> state(time_point now) const;
 
  private:
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -69,7 +69,7 @@
     for (stage_order& order :
          planner_.plan(service, servers_.servers_of_service(service),
                        placement_.failing(service), now)) {
-      // An engine in need takes no calls beside its requests.
+      // Orders would use up the limit that the engine named.
       if (servers_.may_send(order.server, now) &&
           !limits_.rate(order.server, now)) {
         issue_order(std::move(order), profile);
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -901,8 +901,8 @@
       return;
     }
     // The engine frees an unused export when it expires, so a lost call is
-    // harmless, and an engine in need gets none. The pool keeps the call alive
-    // until it ends.
+    // harmless, and one that would use up the engine's limit is not made. The
+    // pool keeps the call alive until it ends.
     if (!context().limits.rate(prefill_server_.id, runtime_clock::now())) {
       send_detached(context(), prefill_server_,
                     context().codec.drop_prefill(export_.handle));
--- a/test/gateway-server-limit-test.cc
+++ b/test/gateway-server-limit-test.cc
@@ -29,7 +29,7 @@
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 
-// A server that may be in need.
+// A server that may name a limit.
 struct limited_server {
   explicit limited_server(boost::asio::io_context& loop) : server(loop) {
     server.answers = [this](const http_request& request,
@@ -88,7 +88,7 @@
 
   fake_server server;
   bool generates = false;
-  std::string limit;  // "": not in need
+  std::string limit;  // "": names none
   std::optional<steady_clock::time_point> first_named;
   std::vector<steady_clock::time_point> arrivals;
 };
--- a/test/gateway-soak-test.cc
+++ b/test/gateway-soak-test.cc
@@ -46,7 +46,7 @@
 constexpr std::chrono::milliseconds retry_after_span(1000);
 constexpr std::chrono::milliseconds retry_after_grace(500);
 constexpr int max_sends_during_retry_after = 2;
-// The requests a second that a server in need names, and the most that it may
+// The requests a second that a limited server names, and the most that it may
 // get in a window, unless a gateway was disrupted shortly before.
 constexpr int server_limit = 20;
 constexpr std::chrono::seconds limit_window(4);
--- a/test/server_limits-test.cc
+++ b/test/server_limits-test.cc
@@ -37,13 +37,13 @@
   std::vector<time_point> sent;
   // Opens the accounts, which are then idle.
   for (fleet_allowance_share& each : shares) {
-    each.draw_own_part("s1", limit, 1, gateways, draw(random), start);
+    each.take_own_part_at_random("s1", limit, 1, gateways, draw(random), start);
   }
   const time_point from = start + idle;
   for (time_point now = from; now < from + length; now += interval) {
     for (fleet_allowance_share& each : shares) {
-      if (each.draw_own_part("s1", limit, 1, gateways, draw(random), now) ==
-          duration{}) {
+      if (each.take_own_part_at_random("s1", limit, 1, gateways, draw(random),
+                                       now) == duration{}) {
         sent.push_back(now);
       }
     }
@@ -73,6 +73,7 @@
 BOOST_AUTO_TEST_CASE(responses_of_a_kind_that_names_no_limit_lift_none) {
   server_limits limits;
   limits.heard("s1", response_kind::prompt, 4.0, start, start);
+  BOOST_TEST(limits.limited(start) == 1U);
   const time_point later = start + seconds(1);
   limits.heard("s1", response_kind::memory, {}, later, later);
   BOOST_TEST(limits.rate("s1", later).value() == 4.0);
