--- a/review/lib/crash_part.py
+++ b/review/lib/crash_part.py
@@ -22,7 +22,8 @@
 
 class Plan:
     def __init__(self, attempts, resumable, first_before, first_after,
-                 sound_delay_s, decode):
+                 sound_delay_s, decode, middle=0):
+        self.middle = middle  # further parts, before the one that may be bad
         self.attempts, self.resumable = attempts, resumable
         self.decode = decode  # servers of this stage, beside two of the other
         self.first_before, self.first_after = first_before, first_after
@@ -54,8 +55,10 @@
 
 
 class Callers:
-    def __init__(self, fleet, record):
+    def __init__(self, fleet, record, middle):
         self.fleet, self.record = fleet, record
+        self.middle = "".join("%08x:10," % (0xc000 + i)
+                              for i in range(middle))
         self.number, self.tasks, self.results = 0, [], []
 
     def send(self, kind, first, second):
@@ -68,7 +71,8 @@
     async def answer(self, kind, first, second, number, host):
         sent = time.monotonic()
         name = "%s%d" % (kind, number)
-        prompt = "%s:200,%s:300,%08x:200" % (first, second, number)
+        prompt = "%s:200,%s%s:300,%08x:200" % (first, self.middle, second,
+                                               number)
         status, events, whole = await generate(
             host, self.fleet.ports["front"], "/summary/%d" % number,
             [("Host", "a.example"), ("Authorization", "Token key1"),
@@ -158,7 +162,7 @@
         if not await start(fleet, record, plan):
             return record.result("the fleet didn't start", 2)
         await asyncio.sleep(2)
-        callers = Callers(fleet, record)
+        callers = Callers(fleet, record, plan.middle)
         calm = time.monotonic()
         for step in range((CALM_S + TROUBLE_S) * SOUND_PER_S):
             in_trouble = step >= CALM_S * SOUND_PER_S
