--- a/review/lib/crash_part.py
+++ b/review/lib/crash_part.py
@@ -22,7 +22,9 @@
 
 class Plan:
     def __init__(self, attempts, resumable, first_before, first_after,
-                 sound_delay_s, decode, middle=0):
+                 sound_delay_s, decode, middle=0, batch=0, batch_every_s=0):
+        # Bad requests that come at once; 0: one each BAD_EACH sound ones.
+        self.batch, self.batch_every_s = batch, batch_every_s
         self.middle = middle  # further parts, before the one that may be bad
         self.attempts, self.resumable = attempts, resumable
         self.decode = decode  # servers of this stage, beside two of the other
@@ -163,7 +165,7 @@
             return record.result("the fleet didn't start", 2)
         await asyncio.sleep(2)
         callers = Callers(fleet, record, plan.middle)
-        calm = time.monotonic()
+        calm, batches = time.monotonic(), 0
         for step in range((CALM_S + TROUBLE_S) * SOUND_PER_S):
             in_trouble = step >= CALM_S * SOUND_PER_S
             if step == CALM_S * SOUND_PER_S:
@@ -172,7 +174,13 @@
             since = time.monotonic() - trouble if in_trouble else 0
             sound = not in_trouble or since >= plan.sound_delay_s
             first = plan.first_after if in_trouble else plan.first_before
-            if in_trouble and (step % BAD_EACH == 0 or not sound):
+            if plan.batch and in_trouble and since >= batches * (
+                    plan.batch_every_s):
+                batches += 1
+                for _ in range(plan.batch):
+                    callers.send("bad", first, BAD)
+            elif not plan.batch and in_trouble and (
+                    step % BAD_EACH == 0 or not sound):
                 callers.send("bad", first, BAD)
             if sound:
                 callers.send("sound", first, "%08x" % (0x1000 + step))
