--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,6 +1,6 @@
 """One part of a prompt crashes the servers that begin to answer it. Requests
-with it come once a second, no two alike; sound ones share key and first part
-with them. The route may be resumed and has two attempts."""
+with it come ten at once, as from a batch, every eight seconds; sound ones share
+key and first part with them. The route can't be resumed and has one attempt."""
 import asyncio
 import pathlib
 import sys
@@ -10,6 +10,7 @@
 from crash_part import Plan, run  # noqa: E402
 from stand import Record  # noqa: E402
 
-PLAN = Plan(attempts=2, resumable=True, first_before="aaaa0001",
-            first_after="aaaa0001", sound_delay_s=0, decode=12)
+PLAN = Plan(attempts=1, resumable=False, first_before="aaaa0001",
+            first_after="aaaa0001", sound_delay_s=0, decode=18, batch=10,
+            batch_every_s=8)
 sys.exit(asyncio.run(run(Record(HERE), PLAN)))
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -25,6 +25,7 @@
         self.name, self.stage, self.record = name, stage, record
         self.bad_parts, self.down_s = bad_parts, down_s
         self.writers, self.crashes, self.orders = set(), [], 0
+        self.down = False
         self.runs = []  # (time, request id)
         self.born, self.busy, self.entry = int(time.time() * 1000), False, {}
 
@@ -44,6 +45,9 @@
             self.writers.discard(writer)
 
     async def crash(self, why):
+        if self.down:
+            return
+        self.down = True
         self.crashes.append(time.monotonic())
         self.record.line("%s crashes on %s" % (self.name, why))
         self.server.close()
@@ -56,6 +60,7 @@
         self.born, self.orders, self.busy = int(time.time() * 1000), 0, False
         self.entry.update({"born": self.born})
         await self.start(self.port)
+        self.down = False
         self.record.line("%s is back" % self.name)
 
     async def handle(self, start, headers, body, reader, writer):
--- a/review/lib/service.py
+++ b/review/lib/service.py
@@ -12,6 +12,7 @@
         super().__init__(self.handle)
         self.name, self.record, self.slots = name, record, slots
         self.writers, self.runs, self.crashes = set(), [], []
+        self.down = False
 
     def listed(self, service):
         return {"id": self.name, "service": service, "addr": self.address,
@@ -27,6 +28,9 @@
 
     def crash(self, down_s):
         """Resets all channels and refuses new ones for this long."""
+        if self.down:
+            return
+        self.down = True
         self.crashes.append(time.monotonic())
         self.record.line("%s crashes" % self.name)
         self.server.close()
@@ -37,6 +41,7 @@
     async def restart(self, down_s):
         await asyncio.sleep(down_s)
         await self.start(self.port)
+        self.down = False
         self.record.line("%s is back" % self.name)
 
     async def handle(self, start, headers, body, reader, writer):
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -19,12 +20,12 @@
 
 
 def free_ports(count, hosts=("127.0.0.1",)):
-    """Returns ports that are free on all of these hosts now."""
+    """Returns ports that are free on all of these hosts now. They lie below
+    those that the system gives to outgoing connections, so that a server that
+    is down for a while finds its port free."""
     out = []
     while len(out) < count:
-        with socket.socket() as probe:
-            probe.bind((hosts[0], 0))
-            port = probe.getsockname()[1]
+        port = random.randrange(12000, 32000)
         if port in out:
             continue
         try:
@@ -206,6 +207,7 @@
         self.answer, self.host, self.port, self.server = answer, host, 0, None
 
     async def start(self, port=0):
+        port = port or free_ports(1, (self.host,))[0]
         self.server = await asyncio.start_server(self.serve, self.host, port)
         self.port = self.server.sockets[0].getsockname()[1]
 
