--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -38,6 +38,9 @@
         return self.entry
 
     async def serve(self, reader, writer):
+        if self.down:
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             await super().serve(reader, writer)
--- a/review/lib/service.py
+++ b/review/lib/service.py
@@ -14,12 +14,15 @@
         self.writers, self.runs, self.crashes = set(), [], []
         self.down = False
 
-    def listed(self, service):
+    def listed(self, service, zone="z"):
         return {"id": self.name, "service": service, "addr": self.address,
-                "zone": "z", "version": "v1", "slots": self.slots,
+                "zone": zone, "version": "v1", "slots": self.slots,
                 "state": "ready", "coldLeftMs": 0}
 
     async def serve(self, reader, writer):
+        if self.down:
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             await super().serve(reader, writer)
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -60,6 +60,7 @@
 
     def __init__(self, fleet, name, host, disk):
         self.fleet, self.name, self.host = fleet, name, host
+        self.zone = "z"
         self.folder = fleet.folder / name
         self.folder.mkdir()
         self.data = self.folder / "data" if disk else None
@@ -74,7 +75,7 @@
             "process": self.name,
             "deployment": "citronwharf",
             "region": "r",
-            "failure_domain": "z",
+            "failure_domain": self.zone,
             "roles": ["gateway"],
             "secret": "this platform hands out no secret: its internal "
                       "network is trusted",
