Count all ends of a burst against a part that was in each

Cause: ends within 100 ms counted as one, so that it took four batches. A fault of many engines was told from a part by time alone.

Evidence: part_quarantined reports 4 ends at the fourth batch, at all gateways at once. Ruled out: an exchange that fails (found_by), a release in between (no part_released).

Change: ends close to each other are a burst. A part that was never answered and is a suspect of all ends of a burst counts with each. A burst is weighed when all gateways had time to report it.

part_of_requests_that_come_at_once_is_quarantined fails before (2 checks) and passes now.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -303,28 +303,64 @@
   }
 }
 
-std::vector<prompt_quarantine::suspicion> prompt_quarantine::suspicions(
-    time_point until) const {
-  std::map<std::string, suspicion> found;
+std::vector<prompt_quarantine::burst> prompt_quarantine::find_bursts(
+    time_point until, time_point now) const {
+  std::vector<burst> out;
   for (const server_end& end : ends_) {
     if (end.at > until) {
       break;
     }
-    for (const std::string& part : end.suspects) {
-      if (contains(end.cleared, part)) {
-        continue;
-      }
-      suspicion& of = found[part];
-      of.known_sound = of.known_sound || contains(end.sound, part);
-      if (of.ends > 0 && end.at - of.last < options_.min_end_distance) {
-        continue;
+    if (end.suspects.empty()) {
+      continue;
+    }
+    if (out.empty() ||
+        end.at - out.back().ends.back()->at >= options_.min_end_distance) {
+      out.emplace_back();
+    }
+    out.back().ends.push_back(&end);
+  }
+  const auto is_unknown = [](const server_end& end, const std::string& part) {
+    return contains(end.suspects, part) && !contains(end.cleared, part) &&
+           !contains(end.sound, part);
+  };
+  for (burst& each : out) {
+    if (each.ends.size() < 2 ||
+        now - each.ends.back()->at < options_.settling_time) {
+      continue;
+    }
+    for (const std::string& part : each.ends.front()->suspects) {
+      if (std::all_of(
+              each.ends.begin(), each.ends.end(),
+              [&](const server_end* end) { return is_unknown(*end, part); })) {
+        each.common.insert(part);
       }
-      if (of.ends++ == 0) {
-        of.part = part;
-        of.first = end.at;
+    }
+  }
+  return out;
+}
+
+std::vector<prompt_quarantine::suspicion> prompt_quarantine::suspicions(
+    time_point until, time_point now) const {
+  std::map<std::string, suspicion> found;
+  for (const burst& each : find_bursts(until, now)) {
+    for (const server_end* end : each.ends) {
+      for (const std::string& part : end->suspects) {
+        if (contains(end->cleared, part)) {
+          continue;
+        }
+        suspicion& of = found[part];
+        of.known_sound = of.known_sound || contains(end->sound, part);
+        if (of.ends > 0 && end->at - of.last < options_.min_end_distance &&
+            !contains(each.common, part)) {
+          continue;
+        }
+        if (of.ends++ == 0) {
+          of.part = part;
+          of.first = end->at;
+        }
+        of.last = end->at;
+        of.server = end->server;
       }
-      of.last = end.at;
-      of.server = end.server;
     }
   }
   std::vector<suspicion> out;
@@ -385,7 +421,7 @@
 
 // A part whose quarantine has ended is quarantined again at the first end.
 bool prompt_quarantine::quarantine_again(time_point now) {
-  for (const suspicion& each : suspicions(now)) {
+  for (const suspicion& each : suspicions(now, now)) {
     const auto found = quarantines_.find(each.part);
     if (found != quarantines_.end() && on_probation(found->second, now) &&
         each.last >= found->second.started_at + span(found->second)) {
@@ -425,7 +461,7 @@
     time_point now) {
   const bool knows_sound_parts = answers_ >= options_.min_answers;
   std::vector<suspicion> unknown;
-  for (const suspicion& each : suspicions(now)) {
+  for (const suspicion& each : suspicions(now, now)) {
     if (is_candidate(each) && !each.known_sound && knows_sound_parts) {
       unknown.push_back(each);
     }
@@ -447,7 +483,7 @@
     if (now >= decide_at) {
       return unknown;
     }
-    evaluate_at_ = decide_at;
+    evaluate_later(decide_at);
     return {};
   }
   return choose_sound_candidate(now);
@@ -458,10 +494,7 @@
 std::vector<prompt_quarantine::suspicion>
 prompt_quarantine::choose_sound_candidate(time_point now) {
   const time_point until = now - options_.settling_time;
-  if (!ends_.empty() && ends_.back().at > until) {
-    evaluate_at_ = now + options_.settling_time;
-  }
-  std::vector<suspicion> found = suspicions(until);
+  std::vector<suspicion> found = suspicions(until, now);
   found.erase(std::remove_if(
                   found.begin(), found.end(),
                   [&](const suspicion& each) { return !is_candidate(each); }),
@@ -488,6 +521,9 @@
 
 bool prompt_quarantine::evaluate(time_point now) {
   evaluate_at_ = time_point::max();
+  if (!ends_.empty() && now < ends_.back().at + options_.settling_time) {
+    evaluate_later(ends_.back().at + options_.settling_time);
+  }
   bool changed = quarantine_requests(now);
   changed = explain_ends(now) || changed;
   for (;;) {
@@ -503,13 +539,13 @@
     changed = true;
     explain_ends(now);
   }
-  report_suspects();
+  report_suspects(now);
   return changed;
 }
 
-void prompt_quarantine::report_suspects() {
+void prompt_quarantine::report_suspects(time_point now) {
   std::set<std::string> suspects;
-  for (const suspicion& each : suspicions(time_point::max())) {
+  for (const suspicion& each : suspicions(time_point::max(), now)) {
     if (each.known_sound || each.ends < options_.doubtful_ends) {
       continue;
     }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -5,6 +5,7 @@
 #ifndef CITRONWHARF_GATEWAY_PROMPT_QUARANTINE_H_
 #define CITRONWHARF_GATEWAY_PROMPT_QUARANTINE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -79,8 +80,9 @@
   /// The share of all ends that a part has to be a suspect of. In a fault that
   /// ends many servers, each rare part is a suspect of few of them.
   std::size_t min_share_divisor = 3;
-  /// Ends this close to each other count as one: a fault that ends many servers
-  /// at once says nothing about a part.
+  /// Ends this close to each other count as one, unless an answer on a part
+  /// that was never answered was lost with each of them: a fault that ends many
+  /// servers at once also ends servers that did not run the part.
   duration min_end_distance = milliseconds(100);
   /// Reports of one end by several gateways differ by less than this; servers
   /// need longer to start again.
@@ -198,6 +200,13 @@
     bool known_sound = false;
     std::size_t answers = 0;  // seen by this process
   };
+  /// Ends of which each is close to the one before.
+  struct burst {
+    std::vector<const server_end*> ends;
+    /// Suspects of all of them that were never answered; known once all
+    /// gateways had time to report the ends.
+    std::set<std::string> common;
+  };
   struct sound_part {
     time_point last;
     std::size_t answers = 0;
@@ -209,7 +218,8 @@
   duration span(const quarantine& of) const;
   bool holds(const quarantine& of, time_point now) const;
   bool on_probation(const quarantine& of, time_point now) const;
-  std::vector<suspicion> suspicions(time_point until) const;
+  std::vector<burst> find_bursts(time_point until, time_point now) const;
+  std::vector<suspicion> suspicions(time_point until, time_point now) const;
   bool is_candidate(const suspicion& of) const;
   bool explain_ends(time_point now);
   bool quarantine_again(time_point now);
@@ -220,11 +230,14 @@
   std::vector<suspicion> choose_candidates(time_point now);
   std::vector<suspicion> choose_sound_candidate(time_point now);
   bool evaluate(time_point now);
+  void evaluate_later(time_point at) {
+    evaluate_at_ = std::min(evaluate_at_, at);
+  }
   void expire(time_point now);
   void remember_sound(const std::string& part, time_point began_at);
   bool release_answered(const std::string& part, time_point began_at,
                         time_point now);
-  void report_suspects();
+  void report_suspects(time_point now);
   void report_merged(const std::string& part, const quarantine& of,
                      time_point now);
   void notify() {
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -257,6 +257,66 @@
   BOOST_TEST(nlohmann::json(state).dump().size() < 1U << 20U);
 }
 
+namespace {
+
+// Ends as many engines at about the same time, under requests with these parts.
+void end_together(prompt_quarantine& in, int engines, const std::string& name,
+                  const std::vector<std::string>& parts, time_point now) {
+  for (int i = 0; i < engines; ++i) {
+    in.record_end(fmt::format("{}{}", name, i), parts, now + milliseconds(i));
+  }
+}
+
+void answer_often(prompt_quarantine& in, const std::string& part) {
+  for (int i = 0; i < 30; ++i) {
+    in.record_progress({part}, start, start + seconds(1));
+  }
+}
+
+}  // namespace
+
+// Guards against requests that come at once, as from a batch, and end as many
+// engines each time because ends at the same time counted as one.
+BOOST_AUTO_TEST_CASE(part_of_requests_that_come_at_once_is_quarantined) {
+  prompt_quarantine first;
+  prompt_quarantine second;
+  answer_often(first, "P");
+  answer_often(second, "P");
+  const time_point now = start + seconds(2);
+  end_together(first, 5, "e", {"P", "X"}, now);
+  end_together(second, 5, "f", {"P", "X"}, now);
+  const time_point heard = now + milliseconds(60);
+  first.merge(second.state(heard), heard);
+  second.merge(first.state(heard), heard);
+  const time_point decided = now + milliseconds(200);
+  for (prompt_quarantine* each : {&first, &second}) {
+    BOOST_TEST(each->find_quarantined({"P", "X"}, decided).has_value());
+    BOOST_TEST(!each->find_quarantined({"P"}, decided).has_value());
+  }
+}
+
+// Guards against a quarantine of a sound part whose requests came at once just
+// when a fault ended engines.
+BOOST_AUTO_TEST_CASE(fault_that_ends_other_engines_too_quarantines_no_part) {
+  prompt_quarantine first;
+  prompt_quarantine second;
+  answer_often(first, "P");
+  answer_often(second, "P");
+  const time_point now = start + seconds(2);
+  end_together(first, 5, "e", {"P", "new"}, now);
+  end_together(second, 2, "f", {"P"}, now + milliseconds(20));
+  // The other gateway's ends are heard within settling_time.
+  const time_point heard = now + milliseconds(100);
+  first.merge(second.state(heard), heard);
+  second.merge(first.state(heard), heard);
+  for (int ms = 100; ms < 5000; ms += 100) {
+    for (prompt_quarantine* each : {&first, &second}) {
+      const auto at = now + milliseconds(ms);
+      BOOST_TEST(!each->find_quarantined({"P", "new"}, at).has_value());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(last_part_of_a_prompt_is_never_shared) {
   BOOST_TEST(shared_parts({}).empty());
   BOOST_TEST(shared_parts({{"a", 1}}).empty());
