Look for crashing parts among all parts of a prompt

Cause: shared_parts() kept the first 32 parts and dropped the others without a log line. Both the evidence and the refusal go by that list.

Evidence: begun_answers_lost_total grows with each end, nothing is suspected. Ruled out: ends that are explained away or seen by too few gateways (the part would be suspected).

Change: all parts count, bounded by the request's head. Suspects are bounded over all ends; parts that were answered, or are suspected once, make room, which is logged.

part_at_the_end_of_a_long_prompt_is_found fails before (32 of 2001 parts) and passes now. The check of at most 32 parts is replaced by one of the number of suspects of all ends.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -11,7 +11,6 @@
 namespace citronwharf {
 namespace {
 
-constexpr std::size_t max_prompt_parts = 32;
 constexpr std::size_t max_id_bytes = 64;
 
 std::string bounded_id(const std::string& id) {
@@ -35,8 +34,12 @@
 
 std::vector<std::string> shared_parts(const std::vector<prompt_part>& prompt) {
   std::vector<std::string> out;
-  for (std::size_t i = 0; i + 1 < prompt.size() && i < max_prompt_parts; ++i) {
-    out.push_back(bounded_id(prompt[i].id));
+  std::set<std::string> known;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    std::string id = bounded_id(prompt[i].id);
+    if (known.insert(id).second) {
+      out.push_back(std::move(id));
+    }
   }
   return out;
 }
@@ -101,27 +104,69 @@
   return *ends_.insert(place, std::move(end));
 }
 
-// Returns whether the part was added. If the list is full, a part that was
-// answered makes room.
+// Returns whether the part was added.
 bool prompt_quarantine::add_suspect(server_end& end, const std::string& part) {
   if (end.explained || contains(end.suspects, part)) {
     return false;
   }
-  if (end.suspects.size() >= options_.max_suspects) {
-    const std::set<std::string>& known =
-        end.cleared.empty() ? end.sound : end.cleared;
-    if (known.empty()) {
-      return false;
-    }
-    const std::string removed = *known.begin();
-    end.suspects.erase(removed);
-    end.cleared.erase(removed);
-    end.sound.erase(removed);
+  std::size_t all = 0;
+  for (const server_end& each : ends_) {
+    all += each.suspects.size();
+  }
+  if (all >= options_.max_suspects && !make_room()) {
+    ++dropped_suspects_;
+    return false;
   }
   end.suspects.insert(part);
   return true;
 }
 
+bool prompt_quarantine::is_suspect_elsewhere(const server_end& end,
+                                             const std::string& part) const {
+  return std::any_of(ends_.begin(), ends_.end(), [&](const server_end& each) {
+    return &each != &end && contains(each.suspects, part);
+  });
+}
+
+// Drops the suspects of one end that are the least likely cause: parts that
+// were answered since, then parts that were answered before, then parts that
+// are suspects of no other end. A part that ends servers again and again is
+// none of these.
+bool prompt_quarantine::make_room() {
+  using set_member = std::set<std::string> server_end::*;
+  const auto drop_known = [&](set_member known) {
+    for (server_end& end : ends_) {
+      if ((end.*known).empty()) {
+        continue;
+      }
+      const std::set<std::string> dropped = std::exchange(end.*known, {});
+      for (const std::string& part : dropped) {
+        end.suspects.erase(part);
+        end.sound.erase(part);
+        end.cleared.erase(part);
+      }
+      dropped_suspects_ += dropped.size();
+      return true;
+    }
+    return false;
+  };
+  if (drop_known(&server_end::cleared) || drop_known(&server_end::sound)) {
+    return true;
+  }
+  for (server_end& end : ends_) {
+    const std::size_t before = end.suspects.size();
+    for (auto part = end.suspects.begin(); part != end.suspects.end();) {
+      part = is_suspect_elsewhere(end, *part) ? std::next(part)
+                                              : end.suspects.erase(part);
+    }
+    if (end.suspects.size() < before) {
+      dropped_suspects_ += before - end.suspects.size();
+      return true;
+    }
+  }
+  return false;
+}
+
 // Adds what this process knows about the suspects of an end.
 bool prompt_quarantine::annotate(server_end& end) {
   bool changed = false;
@@ -161,7 +206,7 @@
   expire(now);
   bool changed = false;
   server_end& end = find_end(server, now, changed);
-  if (end.requests.size() < options_.max_suspects) {
+  if (end.requests.size() < options_.max_requests) {
     changed = end.requests.insert(request).second || changed;
   }
   changed = evaluate(now) || changed;
@@ -544,6 +589,10 @@
 }
 
 void prompt_quarantine::report_suspects(time_point now) {
+  if (dropped_suspects_ > 0) {
+    changes_.push_back({quarantine_change::kind::suspects_dropped, "", "",
+                        std::exchange(dropped_suspects_, 0), 0});
+  }
   std::set<std::string> suspects;
   for (const suspicion& each : suspicions(time_point::max(), now)) {
     if (each.known_sound || each.ends < options_.doubtful_ends) {
@@ -661,7 +710,7 @@
                                now - milliseconds(each.age_ms), changed);
     for (const std::string& request : each.requests) {
       if (is_request_identity(request) &&
-          end.requests.size() < options_.max_suspects) {
+          end.requests.size() < options_.max_requests) {
         changed = end.requests.insert(bounded_id(request)).second || changed;
       }
     }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -60,11 +60,19 @@
 
 /// Something to be logged.
 struct quarantine_change {
-  enum class kind { suspected, quarantined, released, dropped };
+  enum class kind {
+    suspected,
+    quarantined,
+    released,
+    dropped,
+    suspects_dropped
+  };
   kind what = kind::suspected;
   std::string part;
-  std::string server;    ///< the last one that ended under it
-  std::size_t ends = 0;  ///< that speak against the part; 0: not found here
+  std::string server;  ///< the last one that ended under it
+  /// Ends that speak against the part; 0: not found here. The number of
+  /// suspects if these were dropped.
+  std::size_t ends = 0;
   std::int64_t span_ms = 0;
 };
 CITRONWHARF_VALUE(quarantine_change, what, part, server, ends, span_ms)
@@ -104,13 +112,15 @@
   duration initial_request_span = seconds(30);
   duration max_span = std::chrono::hours(1);
   std::size_t max_ends = 64;
-  std::size_t max_suspects = 128;  ///< of one end; also of requests
-  std::size_t max_parts = 256;     ///< in quarantine
+  std::size_t max_suspects = 8192;  ///< of all ends together
+  std::size_t max_requests = 128;   ///< of one end
+  std::size_t max_parts = 256;      ///< in quarantine
   std::size_t max_sound_parts = 2048;
 };
 
 /// Returns the parts of a prompt that other requests may share: the ids of all
-/// but the last one, at most 32. Long ids are hashed. Thread-safe.
+/// but the last one, each once. Their number is bounded only by the limit of a
+/// request's head. Long ids are hashed. Thread-safe.
 std::vector<std::string> shared_parts(const std::vector<prompt_part>& prompt);
 
 /// A part is a suspect of an end if an answer on it was lost with the server
@@ -214,6 +224,9 @@
 
   server_end& find_end(const std::string& server, time_point at, bool& changed);
   bool add_suspect(server_end& end, const std::string& part);
+  bool make_room();
+  bool is_suspect_elsewhere(const server_end& end,
+                            const std::string& part) const;
   bool annotate(server_end& end);
   duration span(const quarantine& of) const;
   bool holds(const quarantine& of, time_point now) const;
@@ -252,6 +265,7 @@
   std::map<std::string, quarantine> quarantines_;  // by part
   std::map<std::string, sound_part> sound_parts_;
   std::size_t answers_ = 0;
+  std::size_t dropped_suspects_ = 0;  // since the last report
   time_point evaluate_at_ = time_point::max();
   std::set<std::string> reported_suspects_;
   std::vector<quarantine_change> changes_;
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -166,6 +166,9 @@
         log_event(events::part_released, each.part, "too many parts");
         parts_changed = true;
         break;
+      case quarantine_change::kind::suspects_dropped:
+        log_event(events::suspects_dropped, each.ends);
+        break;
     }
   }
   if (parts_changed) {
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -241,8 +241,9 @@
   for (int end = 0; end < 100; ++end) {
     for (int request = 0; request < 5; ++request) {
       std::vector<std::string> parts;
-      parts.reserve(32);
-      for (int i = 0; i < 32; ++i) {
+      constexpr int prompt_length = 200;
+      parts.reserve(prompt_length);
+      for (int i = 0; i < prompt_length; ++i) {
         parts.push_back(fmt::format("p{}", ++part));
       }
       in.record_end(fmt::format("e{}", end), parts, now);
@@ -253,6 +254,11 @@
   const quarantine_state state = in.state(now);
   BOOST_TEST(state.ends.size() <= 64U);
   BOOST_TEST(state.parts.size() <= 256U);
+  std::size_t suspects = 0;
+  for (const server_end_state& each : state.ends) {
+    suspects += each.suspects.size();
+  }
+  BOOST_TEST(suspects <= quarantine_options().max_suspects);
   // Far below the limit of a message between processes.
   BOOST_TEST(nlohmann::json(state).dump().size() < 1U << 20U);
 }
@@ -324,8 +330,36 @@
   const std::string long_id(1000, 'a');
   const auto parts = shared_parts({{long_id, 1}, {"b", 1}});
   BOOST_TEST(parts.at(0).size() <= 64U);
+}
+
+// Guards against a crashing part that is never found because it is behind many
+// others.
+BOOST_AUTO_TEST_CASE(part_at_the_end_of_a_long_prompt_is_found) {
+  constexpr int length = 2000;
+  std::vector<prompt_part> prompt;
+  prompt.reserve(length);
+  for (int i = 0; i < length; ++i) {
+    prompt.push_back({fmt::format("p{}", i), 1});
+  }
+  prompt.push_back({"X", 1});
+  prompt.push_back({"own", 1});
+  const std::vector<std::string> parts = shared_parts(prompt);
+  BOOST_TEST(parts.size() == length + 1U);
+  prompt_quarantine in;
+  time_point now = start;
+  const std::vector<std::string> sound(parts.begin(), parts.end() - 1);
+  for (int i = 0; i < 30; ++i) {
+    in.record_progress(sound, now, now + seconds(1));
+  }
+  for (int i = 0; i < 5; ++i) {
+    now += seconds(1);
+    in.record_end(fmt::format("e{}", i), parts, now);
+  }
+  BOOST_TEST(in.find_quarantined(parts, now).has_value());
+  BOOST_TEST(!in.find_quarantined(sound, now).has_value());
+  // Each id counts once.
   BOOST_TEST(shared_parts(std::vector<prompt_part>(100, {"a", 1})).size() ==
-             32U);
+             1U);
 }
 
 }  // namespace citronwharf
--- a/test/request_quarantine-test.cc
+++ b/test/request_quarantine-test.cc
@@ -141,7 +141,7 @@
   BOOST_TEST(all.ends.size() <= limits.max_ends);
   BOOST_TEST(all.parts.size() <= limits.max_parts);
   for (const server_end_state& each : all.ends) {
-    BOOST_TEST(each.requests.size() <= limits.max_suspects);
+    BOOST_TEST(each.requests.size() <= limits.max_requests);
   }
 }
 
