Bound the memory of answers without end over all streams

What callers saw, by a report of other operators: a faulty server sends bytes that are no answer without end, the gateway keeps them, runs out of memory, and the requests of other callers end with it.

Cause: each blank line or comment of a stream became a string of its own in the queue to the caller, which counts payload only; nothing bounded the queues of all streams together; and comments counted as progress of the engine.

Ruled out: heads, interim answers, chunk extensions, trailers, error bodies and whatever follows an answer.

Change: queued bytes share buffers and have a bound over all connections, too many comments between two events end the call, and incomplete events and error bodies count against the budget of responses.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -52,9 +52,11 @@
   return out;
 }
 
-// Returns the size of the first complete event, or 0 if there is none.
-std::size_t first_event_size(const std::string& bytes) {
-  for (std::size_t line_end = bytes.find('\n'); line_end != std::string::npos;
+// Returns the end of the first complete event whose last line ends at `from` or
+// later, or 0 if there is none.
+std::size_t find_event_end(const std::string& bytes, std::size_t from) {
+  for (std::size_t line_end = bytes.find('\n', from);
+       line_end != std::string::npos;
        line_end = bytes.find('\n', line_end + 1)) {
     if (line_end + 1 < bytes.size() && bytes[line_end + 1] == '\n') {
       return line_end + 2;
@@ -70,13 +72,25 @@
 }  // namespace
 
 std::vector<stream_event> event_splitter::feed(const std::string& bytes) {
+  // The longest end of an event: "\n\r\n".
+  constexpr std::size_t max_end_bytes = 3;
   partial_event_ += bytes;
   std::vector<stream_event> out;
-  for (std::size_t size = first_event_size(partial_event_); size != 0;
-       size = first_event_size(partial_event_)) {
-    out.push_back(read_event(partial_event_.substr(0, size)));
-    partial_event_.erase(0, size);
+  std::size_t begin = 0;
+  for (std::size_t end = find_event_end(partial_event_, searched_); end != 0;
+       end = find_event_end(partial_event_, begin)) {
+    stream_event event = read_event(partial_event_.substr(begin, end - begin));
+    begin = end;
+    if (event.is_comment && !out.empty() && out.back().is_comment) {
+      out.back().bytes += event.bytes;
+    } else {
+      out.push_back(std::move(event));
+    }
   }
+  partial_event_.erase(0, begin);
+  searched_ = partial_event_.size() < max_end_bytes
+                  ? 0
+                  : partial_event_.size() - max_end_bytes;
   return out;
 }
 
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -30,8 +30,9 @@
 
 namespace citronwharf {
 
-/// Limits the memory used by responses that are buffered whole before they are
-/// passed on. Not thread-safe; use from the event loop thread only.
+/// Limits the memory used by what is received from servers and kept before it
+/// is passed on: whole responses, incomplete events and bodies of errors. Not
+/// thread-safe; use from the event loop thread only.
 class response_memory_budget {
  public:
   /// Reserves bytes; returns false and reserves nothing when the limit would be
@@ -52,6 +53,34 @@
   std::size_t used_ = 0;
 };
 
+/// A part of the budget, which goes back when it is destroyed. Not thread-safe;
+/// use from the event loop thread only. Precondition: the budget outlives it.
+class memory_reservation {
+ public:
+  explicit memory_reservation(response_memory_budget& budget)
+      : budget_(budget) {}
+  ~memory_reservation() { budget_.release(bytes_); }
+  memory_reservation(const memory_reservation&) = delete;
+  memory_reservation& operator=(const memory_reservation&) = delete;
+
+  /// Changes the size. Returns false, and changes nothing, if the budget is
+  /// exhausted.
+  bool resize(std::size_t bytes) {
+    if (bytes > bytes_ && !budget_.reserve(bytes - bytes_)) {
+      return false;
+    }
+    if (bytes < bytes_) {
+      budget_.release(bytes_ - bytes);
+    }
+    bytes_ = bytes;
+    return true;
+  }
+
+ private:
+  response_memory_budget& budget_;
+  std::size_t bytes_ = 0;
+};
+
 /// Dependencies shared by all forwarded requests of a gateway; must outlive
 /// them. Not thread-safe; use from the event loop thread only.
 struct forward_context {
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -35,18 +35,14 @@
 class buffered_response {
  public:
   explicit buffered_response(response_memory_budget& budget)
-      : budget_(budget) {}
-  ~buffered_response() { budget_.release(bytes_); }
-  buffered_response(const buffered_response&) = delete;
-  buffered_response& operator=(const buffered_response&) = delete;
+      : memory_(budget) {}
 
   void set_head(const http_response& head) { response_ = head; }
   // Returns false if the budget is exhausted.
   bool append(const std::string& part) {
-    if (!budget_.reserve(part.size())) {
+    if (!memory_.resize(response_.body.size() + part.size())) {
       return false;
     }
-    bytes_ += part.size();
     response_.body += part;
     return true;
   }
@@ -54,9 +50,8 @@
   http_response take() { return std::move(response_); }
 
  private:
-  response_memory_budget& budget_;
+  memory_reservation memory_;
   http_response response_;
-  std::size_t bytes_ = 0;
 };
 
 // The request as sent to one server.
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -53,6 +53,8 @@
 constexpr int max_failed_prefills = 2;
 // An engine response that is not a stream explains the error in a few lines.
 constexpr std::size_t max_error_bytes = 64U << 10U;
+// Keep-alives between two events: thousands of times what a sound engine sends.
+constexpr std::size_t max_comment_bytes = 64U << 10U;
 // An answer that lasts this long and has so many events goes on: a part of the
 // prompt that crashes engines does so within a quarter of this time, before the
 // second event.
@@ -78,7 +80,8 @@
         silence_timer_(context.loop),
         search_(std::make_unique<engine_search>(context, search_hooks())),
         replacement_search_(
-            std::make_unique<engine_search>(context, search_hooks())) {
+            std::make_unique<engine_search>(context, search_hooks())),
+        memory_(context.response_budget) {
     const caller_request& caller = this->request().caller;
     prompt_tokens_ = caller.prompt_tokens.value_or(0);
     expected_output_tokens_ = expected_output_tokens(caller);
@@ -393,6 +396,8 @@
     head_ = {};
     error_body_.clear();
     splitter_.reset();
+    comment_bytes_ = 0;
+    memory_.resize(0);
     response_started_ = false;
     events_from_engine_ = 0;
     sound_answer_recorded_ = false;
@@ -674,22 +679,36 @@
       error_body_ += part;
       if (error_body_.size() > max_error_bytes) {
         abort_stream("error without end");
+      } else if (!memory_.resize(error_body_.size())) {
+        abort_stream("no_memory_for_response");
       }
       return;
     }
     const auto events = splitter_.feed(part);
+    bool goes_on = false;
     for (const stream_event& event : events) {
       if (!relay_event(event)) {
         return;
       }
+      goes_on = goes_on || !event.is_comment;
+      comment_bytes_ =
+          event.is_comment ? comment_bytes_ + event.bytes.size() : 0;
     }
     if (splitter_.partial_event_too_large()) {
       abort_stream("event without end");
       return;
     }
+    if (comment_bytes_ > max_comment_bytes) {
+      abort_stream("comments without end");
+      return;
+    }
+    if (!memory_.resize(splitter_.buffered_bytes())) {
+      abort_stream("no_memory_for_response");
+      return;
+    }
     // Only whole events show that an engine goes on, because a stalled one may
-    // still send single bytes.
-    if (!events.empty()) {
+    // still send single bytes or comments.
+    if (goes_on) {
       search_->end_silence(last_server_);
       if (replacing_) {
         add_to_trail("goes_on");
@@ -984,6 +1003,8 @@
   http_response head_;
   std::string error_body_;
   event_splitter splitter_;
+  std::size_t comment_bytes_ = 0;  // since the last event
+  memory_reservation memory_;      // for incomplete events and error bodies
   bool response_started_ = false;  // the current server answered 200
   bool stream_started_ = false;    // to the caller
   std::int64_t events_ = 0;
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -35,7 +35,7 @@
   duration max_idle = seconds(4);
   /// A longer response body fails the call. Empty means unlimited, for bodies
   /// that are forwarded as they arrive.
-  std::optional<std::uint64_t> max_body_bytes = 1U << 20U;
+  std::optional<std::uint64_t> max_body_bytes = 256U << 10U;
   /// Matches a response to this call. Called once per response. Responses to
   /// other calls are skipped, and the next one on the connection is read; all
   /// others are accepted. Every response is unidentified when empty.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -75,6 +75,8 @@
   std::size_t open_connections() const { return connections_.size(); }
 
   const http_server_options& options() const { return options_; }
+  /// Bytes that wait to be written on all connections.
+  const std::shared_ptr<std::size_t>& queued_bytes() { return queued_bytes_; }
   bool accepting() const { return acceptor_.is_open(); }
   void handle(http_request request, std::unique_ptr<http_exchange> exchange) {
     if (on_request_) {
@@ -94,6 +96,8 @@
   asio::io_context& loop_;
   tcp::acceptor acceptor_;
   std::unordered_set<std::shared_ptr<connection>> connections_;
+  // Shared because connections may outlive the server.
+  std::shared_ptr<std::size_t> queued_bytes_ = std::make_shared<std::size_t>(0);
   bool closing_ = false;  // connections end after their next response
   bool closed_ = false;
 };
@@ -102,17 +106,22 @@
 // of connections.
 class connection : public std::enable_shared_from_this<connection> {
  public:
-  connection(std::weak_ptr<http_server::impl> server,
-             const http_server_options& options, tcp::socket socket)
-      : server_(std::move(server)),
-        options_(options),
+  connection(const std::shared_ptr<http_server::impl>& server,
+             tcp::socket socket)
+      : server_(server),
+        options_(server->options()),
         socket_(std::move(socket)),
-        timer_(socket_.get_executor()) {
+        timer_(socket_.get_executor()),
+        total_queued_bytes_(server->queued_bytes()) {
     error_code error;
     const auto remote = socket_.remote_endpoint(error);
     remote_ = error ? "" : format_address(remote);
   }
 
+  ~connection() { *total_queued_bytes_ -= queued_bytes_; }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
   void start(bool refuse) {
     socket_.set_option(tcp::no_delay(true), ignored_);
     if (refuse) {
@@ -212,6 +221,7 @@
   bool watching_ = false;
   std::deque<std::string> queue_;
   std::size_t queued_bytes_ = 0;
+  std::shared_ptr<std::size_t> total_queued_bytes_;
   std::function<void()> on_closed_;
   error_code ignored_;
 };
@@ -455,15 +465,27 @@
   if (overflowed_) {
     return;
   }
-  queued_bytes_ += bytes.size();
-  if (!response_queued_ && queued_bytes_ > options_.max_queued_bytes) {
+  // Small parts share a buffer; the first one is being written.
+  constexpr std::size_t max_joined_bytes = 16U << 10U;
+  const bool behind = queue_.size() > 1;
+  const bool too_much =
+      queued_bytes_ + bytes.size() > options_.max_queued_bytes ||
+      (behind &&
+       *total_queued_bytes_ + bytes.size() > options_.max_total_queued_bytes);
+  if (!response_queued_ && too_much) {
     overflowed_ = true;
     // The handler of on_closed() may destroy the exchange that is writing.
     asio::post(socket_.get_executor(),
                [self = shared_from_this()] { self->close(); });
     return;
   }
-  queue_.push_back(std::move(bytes));
+  queued_bytes_ += bytes.size();
+  *total_queued_bytes_ += bytes.size();
+  if (behind && queue_.back().size() + bytes.size() <= max_joined_bytes) {
+    queue_.back() += bytes;
+  } else {
+    queue_.push_back(std::move(bytes));
+  }
   if (!writing_) {
     write_next();
   }
@@ -491,6 +513,7 @@
         }
         self->timer_.cancel();
         self->queued_bytes_ -= self->queue_.front().size();
+        *self->total_queued_bytes_ -= self->queue_.front().size();
         self->queue_.pop_front();
         self->write_next();
       });
@@ -582,8 +605,8 @@
 
 void http_server::impl::add_connection(tcp::socket socket) {
   const bool full = connections_.size() >= options_.max_connections;
-  auto accepted = std::make_shared<connection>(shared_from_this(), options_,
-                                               std::move(socket));
+  auto accepted =
+      std::make_shared<connection>(shared_from_this(), std::move(socket));
   connections_.insert(accepted);
   accepted->start(full);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -26,6 +26,9 @@
   duration write_timeout = seconds(10);  ///< without progress of a write
   std::size_t max_queued_bytes =
       1U << 20U;  ///< per stream; beyond it, the connection closes
+  /// Of all connections together. Beyond it, streams whose clients read more
+  /// slowly than they are written close.
+  std::size_t max_total_queued_bytes = 16U << 20U;
   /// Generates the X-Request-Id of requests that the server itself refuses; the
   /// header is omitted when empty.
   std::function<std::string()> make_request_id;
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -137,11 +137,16 @@
     const auto route = [this](const char* name, const char* prefix,
                               const char* kind, const char* service,
                               bool resumable) {
-      return json{{"name", name},           {"host", "a.example"},
-                  {"pathPrefix", prefix},   {"kind", kind},
-                  {"timeoutMs", 2000},      {"goalMs", 500},
-                  {"service", service},     {"attempts", 2},
-                  {"resumable", resumable}, {"gapTargetMs", gap_objective_ms}};
+      return json{{"name", name},
+                  {"host", "a.example"},
+                  {"pathPrefix", prefix},
+                  {"kind", kind},
+                  {"timeoutMs", timeout_ms},
+                  {"goalMs", 500},
+                  {"service", service},
+                  {"attempts", 2},
+                  {"resumable", resumable},
+                  {"gapTargetMs", gap_objective_ms}};
     };
     const json state{{"version", version},
                      {"routes",
@@ -152,7 +157,7 @@
                      {"services",
                       {{{"name", "models"},
                         {"engine",
-                         {{"slots", 8},
+                         {{"slots", engine_slots},
                           {"kvTokens", 50000},
                           {"handleS", 0.5},
                           {"holdMs", max_hold_ms}}}},
@@ -215,6 +220,8 @@
   int last_id = 0;
   int gap_objective_ms = 300;
   int max_hold_ms = 2000;
+  int timeout_ms = 2000;  // of routes
+  int engine_slots = 8;
   int drain_timeout_ms;
   int drain_announce_ms;
 };
