Let one end under a quarantined request speak against its parts

Cause: two ends under one request quarantine the request, and a quarantined request explained its ends away from the parts. Each bad request explained its own two.

Evidence: one part_quarantined of an identity for each bad request, none of the part. Ruled out: ends that count as one (they are 100 ms and more apart).

Change: a quarantined request explains all its ends but one, the same one in all processes.

part_of_requests_that_end_two_engines_each_is_quarantined fails before and passes now.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -436,6 +436,23 @@
   return of.ends * options_.min_share_divisor >= all;
 }
 
+// Returns whether a quarantined request ran at the server and also at another
+// one that ended. All processes that know both ends choose the same one to
+// speak against the parts, whichever they heard of first.
+bool prompt_quarantine::is_explained_by_request(const server_end& end,
+                                                time_point now) const {
+  return std::any_of(
+      end.requests.begin(), end.requests.end(), [&](const auto& request) {
+        const auto found = quarantines_.find(request);
+        return found != quarantines_.end() && holds(found->second, now) &&
+               std::any_of(ends_.begin(), ends_.end(),
+                           [&](const server_end& each) {
+                             return each.server < end.server &&
+                                    contains(each.requests, request);
+                           });
+      });
+}
+
 // Marks the ends that a quarantined part explains, and those that speak against
 // no part any more.
 bool prompt_quarantine::explain_ends(time_point now) {
@@ -448,8 +465,7 @@
     };
     const bool explained =
         std::any_of(end.suspects.begin(), end.suspects.end(), held) ||
-        (!end.explained &&
-         std::any_of(end.requests.begin(), end.requests.end(), held));
+        (!end.explained && is_explained_by_request(end, now));
     const bool settled = now - end.at >= options_.settled_after &&
                          !end.explained &&
                          end.cleared.size() == end.suspects.size();
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -127,7 +127,8 @@
 /// before it had gone on. Each answer on the part that goes on clears the part
 /// of all ends before it. A quarantined part explains the ends of which it is a
 /// suspect, so that these no longer speak against other parts. A quarantined
-/// request explains the ends under it likewise.
+/// request explains all ends under it but one: where many requests end servers,
+/// the parts that they share are the likelier cause.
 ///
 /// Designed for this load: all engines of a service end and start again within
 /// seconds while most requests share some of their parts. States of several
@@ -235,6 +236,7 @@
   std::vector<suspicion> suspicions(time_point until, time_point now) const;
   bool is_candidate(const suspicion& of) const;
   bool explain_ends(time_point now);
+  bool is_explained_by_request(const server_end& end, time_point now) const;
   bool quarantine_again(time_point now);
   std::size_t count_ends(const std::string& request) const;
   bool quarantine_requests(time_point now);
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -323,6 +323,29 @@
   }
 }
 
+// Guards against a part that is never found because each request with it ends
+// two engines and is quarantined as their cause.
+BOOST_AUTO_TEST_CASE(
+    part_of_requests_that_end_two_engines_each_is_quarantined) {
+  prompt_quarantine in;
+  answer_often(in, "P");
+  time_point now = start + seconds(2);
+  constexpr int allowed_requests = 5;
+  for (int i = 0; i < allowed_requests; ++i) {
+    const std::string request = fmt::format("r:{}", i);
+    for (const char* attempt : {"a", "b"}) {
+      const std::string engine = fmt::format("e{}{}", i, attempt);
+      in.record_end(engine, {"P", "X"}, now);
+      in.record_request_end(engine, request, now + milliseconds(1));
+      now += milliseconds(150);
+    }
+    in.record_progress({"P"}, now, now + milliseconds(600));
+    now += milliseconds(700);
+  }
+  BOOST_TEST(in.find_quarantined({"P", "X"}, now).has_value());
+  BOOST_TEST(!in.find_quarantined({"P"}, now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(last_part_of_a_prompt_is_never_shared) {
   BOOST_TEST(shared_parts({}).empty());
   BOOST_TEST(shared_parts({{"a", 1}}).empty());
