Refuse only prompts with all parts that can't be told apart

Cause: parts that can't be told apart were quarantined each by itself, and the quarantine kept the answers away that tell them apart.

Evidence: part_quarantined of both parts at the same moment, after four ends. Ruled out: further ends under the new part (there are none).

Change: such parts are quarantined as one. Prompts with some of them go on, and an answer narrows the quarantine to the others.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -1,5 +1,8 @@
 #include "gateway/prompt_quarantine.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -13,9 +16,37 @@
 
 constexpr std::size_t max_id_bytes = 64;
 
+// Separates the parts of a quarantine of several.
+constexpr char part_separator = ' ';
+
 std::string bounded_id(const std::string& id) {
-  return id.size() <= max_id_bytes ? id
-                                   : fmt::format("#{:016x}", stable_hash(id));
+  return id.size() <= max_id_bytes && !absl::StrContains(id, part_separator)
+             ? id
+             : fmt::format("#{:016x}", stable_hash(id));
+}
+
+// Returns the parts that a key names, in order and each once.
+std::vector<std::string> parts_of(const std::string& key) {
+  std::set<std::string> parts;
+  for (const absl::string_view each : absl::StrSplit(key, part_separator)) {
+    parts.insert(bounded_id(std::string(each)));
+  }
+  return {parts.begin(), parts.end()};
+}
+
+std::string key_of(const std::vector<std::string>& parts) {
+  return absl::StrJoin(parts, std::string(1, part_separator));
+}
+
+// Precondition: both are sorted.
+bool includes(const std::vector<std::string>& all,
+              const std::vector<std::string>& some) {
+  return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
+std::vector<std::string> sorted(std::vector<std::string> in) {
+  std::sort(in.begin(), in.end());
+  return in;
 }
 
 std::int64_t to_ms(duration span) {
@@ -223,7 +254,7 @@
       changed = each.settled.insert(request).second || changed;
     }
   }
-  changed = release_answered(request, sent_at, now) || changed;
+  changed = release_answered({request}, sent_at, now) || changed;
   if (changed) {
     notify();
   }
@@ -249,18 +280,42 @@
          });
 }
 
-// Returns whether this ended the quarantine of the part or request.
-bool prompt_quarantine::release_answered(const std::string& part,
+// Ends the quarantines of these parts or this request, and narrows those of
+// further parts to these. Returns whether there were any.
+bool prompt_quarantine::release_answered(const std::vector<std::string>& parts,
                                          time_point began_at, time_point now) {
-  const auto found = quarantines_.find(part);
-  if (found == quarantines_.end() || found->second.released ||
-      found->second.started_at >= began_at) {
-    return false;
+  std::vector<quarantine> narrowed;
+  bool changed = false;
+  for (auto& [key, each] : quarantines_) {
+    if (each.released || each.started_at >= began_at) {
+      continue;
+    }
+    std::vector<std::string> left;
+    for (const std::string& part : each.parts) {
+      if (std::find(parts.begin(), parts.end(), part) == parts.end()) {
+        left.push_back(part);
+      }
+    }
+    if (left.size() == each.parts.size()) {
+      continue;
+    }
+    each.released = true;
+    changed = true;
+    changes_.push_back({quarantine_change::kind::released, key, "", 0,
+                        to_ms(now - each.started_at)});
+    if (!left.empty()) {
+      narrowed.push_back(each);
+      narrowed.back().parts = std::move(left);
+      narrowed.back().released = false;
+    }
   }
-  found->second.released = true;
-  changes_.push_back({quarantine_change::kind::released, part, "", 0,
-                      to_ms(now - found->second.started_at)});
-  return true;
+  for (quarantine& each : narrowed) {
+    const std::string key = key_of(each.parts);
+    if (quarantines_.emplace(key, each).second) {
+      report_merged(key, each, now);
+    }
+  }
+  return changed;
 }
 
 // Counts the ends of servers that speak against a request.
@@ -341,8 +396,8 @@
         changed = each.cleared.insert(part).second || changed;
       }
     }
-    changed = release_answered(part, began_at, now) || changed;
   }
+  changed = release_answered(parts, began_at, now) || changed;
   if (changed) {
     notify();
   }
@@ -480,13 +535,25 @@
   return changed;
 }
 
-// A part whose quarantine has ended is quarantined again at the first end.
+// Returns whether a server ended under all parts after their quarantine.
+bool prompt_quarantine::has_ended_again(const quarantine& of) const {
+  return std::any_of(ends_.begin(), ends_.end(), [&](const server_end& end) {
+    return end.at >= of.started_at + span(of) &&
+           std::all_of(of.parts.begin(), of.parts.end(), [&](const auto& part) {
+             return contains(end.suspects, part) &&
+                    !contains(end.cleared, part);
+           });
+  });
+}
+
+// Parts whose quarantine has ended are quarantined again at the first end.
 bool prompt_quarantine::quarantine_again(time_point now) {
-  for (const suspicion& each : suspicions(now, now)) {
-    const auto found = quarantines_.find(each.part);
-    if (found != quarantines_.end() && on_probation(found->second, now) &&
-        each.last >= found->second.started_at + span(found->second)) {
-      return start_quarantine(each, now);
+  for (const auto& [key, each] : quarantines_) {
+    if (!each.of_request && on_probation(each, now) && has_ended_again(each)) {
+      suspicion which;
+      which.part = key;
+      which.ends = 1;
+      return start_quarantine(which, now);
     }
   }
   return false;
@@ -506,6 +573,7 @@
     quarantines_.erase(oldest);
   }
   quarantine& of = quarantines_[which.part];
+  of.parts = parts_of(which.part);
   of.of_request = is_request_identity(which.part);
   ++of.count;
   of.started_at = now;
@@ -515,9 +583,19 @@
   return true;
 }
 
+// Returns whether prompts with all these parts are refused.
+bool prompt_quarantine::refuses_any_of(const std::string& key,
+                                       time_point now) const {
+  const std::vector<std::string> parts = parts_of(key);
+  return std::any_of(
+      quarantines_.begin(), quarantines_.end(), [&](const auto& each) {
+        return holds(each.second, now) && includes(parts, each.second.parts);
+      });
+}
+
 // Returns the parts that explain the ends best. Parts that were never answered
-// come first; parts that can't be told apart are returned together once others
-// had time to tell them apart.
+// come first; parts that can't be told apart are returned together, as one,
+// once others had time to tell them apart.
 std::vector<prompt_quarantine::suspicion> prompt_quarantine::choose_candidates(
     time_point now) {
   const bool knows_sound_parts = answers_ >= options_.min_answers;
@@ -541,11 +619,18 @@
   }
   if (!unknown.empty()) {
     const time_point decide_at = unknown.front().first + options_.min_span;
-    if (now >= decide_at) {
-      return unknown;
+    if (now < decide_at) {
+      evaluate_later(decide_at);
+      return {};
     }
-    evaluate_later(decide_at);
-    return {};
+    suspicion all = unknown.front();
+    std::vector<std::string> parts;
+    for (const suspicion& each : unknown) {
+      parts.push_back(each.part);
+    }
+    all.part = key_of(sorted(parts));
+    return refuses_any_of(all.part, now) ? std::vector<suspicion>{}
+                                         : std::vector<suspicion>{all};
   }
   return choose_sound_candidate(now);
 }
@@ -632,11 +717,10 @@
   if (quarantines_.empty()) {
     return std::nullopt;
   }
-  for (const std::string& part : parts) {
-    const auto found = quarantines_.find(part);
-    if (found != quarantines_.end() && holds(found->second, now)) {
-      return found_part{part,
-                        found->second.started_at + span(found->second) - now};
+  const std::vector<std::string> all = sorted(parts);
+  for (const auto& [key, each] : quarantines_) {
+    if (holds(each, now) && includes(all, each.parts)) {
+      return found_part{key, each.started_at + span(each) - now};
     }
   }
   return std::nullopt;
@@ -695,7 +779,8 @@
     if (now >= added.started_at + 2 * span(added)) {
       continue;
     }
-    const std::string part = bounded_id(each.part);
+    added.parts = parts_of(each.part);
+    const std::string part = key_of(added.parts);
     const auto known = quarantines_.find(part);
     if (known == quarantines_.end()) {
       if (quarantines_.size() >= options_.max_parts) {
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -43,7 +43,9 @@
 
 /// The quarantine of a part or of a request, as gateways exchange it.
 struct part_quarantine_state {
-  std::string part;        ///< or the identity of a request
+  /// Or the identity of a request. Parts that can't be told apart are separated
+  /// by spaces: only prompts with all of them are refused.
+  std::string part;
   std::int64_t count = 0;  ///< how often the part was quarantined
   std::int64_t age_ms = 0;
   bool released = false;
@@ -97,7 +99,8 @@
   duration same_end = seconds(2);
   /// A part that was answered before is only quarantined if the ends span this
   /// time, so that other answers with it had time to go on. Several parts that
-  /// can't be told apart wait for this long to be told apart by other gateways.
+  /// can't be told apart wait for this long to be told apart by other gateways;
+  /// then prompts with all of them are refused.
   duration min_span = seconds(2);
   /// Gateways hear of an end within this time.
   duration settling_time = milliseconds(150);
@@ -128,7 +131,9 @@
 /// of all ends before it. A quarantined part explains the ends of which it is a
 /// suspect, so that these no longer speak against other parts. A quarantined
 /// request explains all ends under it but one: where many requests end servers,
-/// the parts that they share are the likelier cause.
+/// the parts that they share are the likelier cause. Of parts that can't be
+/// told apart, only prompts with all of them are refused: prompts with some of
+/// them show which are sound, and the quarantine is narrowed to the others.
 ///
 /// Designed for this load: all engines of a service end and start again within
 /// seconds while most requests share some of their parts. States of several
@@ -170,7 +175,7 @@
     std::string part;
     duration left{};
   };
-  /// Returns a quarantined part or request among these.
+  /// Returns a quarantined part, parts or request among these.
   std::optional<found_part> find_quarantined(
       const std::vector<std::string>& parts, time_point now);
   /// Returns whether one of these parts, or the request, is suspected so much
@@ -197,6 +202,7 @@
     std::set<std::string> settled;
   };
   struct quarantine {
+    std::vector<std::string> parts;  // all of them; one, or a request
     bool of_request = false;
     std::int64_t count = 0;
     time_point started_at;
@@ -250,8 +256,10 @@
   }
   void expire(time_point now);
   void remember_sound(const std::string& part, time_point began_at);
-  bool release_answered(const std::string& part, time_point began_at,
-                        time_point now);
+  bool release_answered(const std::vector<std::string>& parts,
+                        time_point began_at, time_point now);
+  bool refuses_any_of(const std::string& key, time_point now) const;
+  bool has_ended_again(const quarantine& of) const;
   void report_suspects(time_point now);
   void report_merged(const std::string& part, const quarantine& of,
                      time_point now);
@@ -264,7 +272,7 @@
   quarantine_options options_;
   std::function<void()> on_change_;
   std::vector<server_end> ends_;                   // by time
-  std::map<std::string, quarantine> quarantines_;  // by part
+  std::map<std::string, quarantine> quarantines_;  // by part or parts
   std::map<std::string, sound_part> sound_parts_;
   std::size_t answers_ = 0;
   std::size_t dropped_suspects_ = 0;  // since the last report
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -346,6 +346,35 @@
   BOOST_TEST(!in.find_quarantined({"P"}, now).has_value());
 }
 
+// Guards against a new part that is refused for good because it first came with
+// a part that crashes engines.
+BOOST_AUTO_TEST_CASE(new_part_beside_the_crashing_one_is_told_from_it) {
+  prompt_quarantine first;
+  prompt_quarantine second;
+  answer_often(first, "P");
+  time_point now = start + seconds(2);
+  for (int i = 0; i < 6; ++i) {
+    first.record_end(fmt::format("e{}", i), {"new", "X"}, now);
+    now += milliseconds(350);
+  }
+  BOOST_TEST(first.find_quarantined({"new", "X"}, now).has_value());
+  second.merge(first.state(now), now);
+  for (prompt_quarantine* each : {&first, &second}) {
+    BOOST_TEST(each->find_quarantined({"new", "X"}, now).has_value());
+    BOOST_TEST(!each->find_quarantined({"new", "Y"}, now).has_value());
+  }
+  // A sound answer shows which of them it is, and all processes learn of it.
+  first.record_progress({"new", "Y"}, now + milliseconds(100),
+                        now + milliseconds(700));
+  now += milliseconds(800);
+  second.merge(first.state(now), now);
+  for (prompt_quarantine* each : {&first, &second}) {
+    BOOST_TEST(each->find_quarantined({"new", "X"}, now).has_value());
+    BOOST_TEST(each->find_quarantined({"X"}, now).has_value());
+    BOOST_TEST(!each->find_quarantined({"new"}, now).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(last_part_of_a_prompt_is_never_shared) {
   BOOST_TEST(shared_parts({}).empty());
   BOOST_TEST(shared_parts({{"a", 1}}).empty());
