Wait for all gateways' reports before telling crashing parts apart

Cause: a sound request was lost at an engine beside the crashing one, which another gateway had not reported yet, so that for 2 ms the new part had one end more than the crashing part, and was quarantined alone.

Ruled out: answers that clear the crashing part (none), and the quarantine of both as one, which lets the sound ones through.

Change: no part is taken while the newest ends could make another one equal.

end_is_weighed_when_all_gateways_have_reported_it fails before (2 checks) and passes now.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -599,8 +599,9 @@
 std::vector<prompt_quarantine::suspicion> prompt_quarantine::choose_candidates(
     time_point now) {
   const bool knows_sound_parts = answers_ >= options_.min_answers;
+  const std::vector<suspicion> all = suspicions(now, now);
   std::vector<suspicion> unknown;
-  for (const suspicion& each : suspicions(now, now)) {
+  for (const suspicion& each : all) {
     if (is_candidate(each) && !each.known_sound && knows_sound_parts) {
       unknown.push_back(each);
     }
@@ -609,6 +610,19 @@
   for (const suspicion& each : unknown) {
     max_ends = std::max(max_ends, each.ends);
   }
+  // Other gateways may have seen another part at the newest ends.
+  const auto newest = static_cast<std::size_t>(
+      std::count_if(ends_.begin(), ends_.end(), [&](const server_end& each) {
+        return now - each.at < options_.settling_time;
+      }));
+  const bool has_rival =
+      std::any_of(all.begin(), all.end(), [&](const suspicion& each) {
+        return !each.known_sound && each.ends < max_ends &&
+               each.ends + newest >= max_ends;
+      });
+  if (has_rival) {
+    return {};
+  }
   unknown.erase(std::remove_if(unknown.begin(), unknown.end(),
                                [&](const suspicion& each) {
                                  return each.ends < max_ends;
@@ -623,14 +637,15 @@
       evaluate_later(decide_at);
       return {};
     }
-    suspicion all = unknown.front();
+    suspicion together = unknown.front();
     std::vector<std::string> parts;
     for (const suspicion& each : unknown) {
       parts.push_back(each.part);
     }
-    all.part = key_of(sorted(parts));
-    return refuses_any_of(all.part, now) ? std::vector<suspicion>{}
-                                         : std::vector<suspicion>{all};
+    together.part = key_of(sorted(parts));
+    return refuses_any_of(together.part, now)
+               ? std::vector<suspicion>{}
+               : std::vector<suspicion>{together};
   }
   return choose_sound_candidate(now);
 }
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -375,6 +375,28 @@
   }
 }
 
+// Guards against a quarantine of a sound part that was lost at an engine beside
+// the crashing one, which another gateway has not reported yet.
+BOOST_AUTO_TEST_CASE(end_is_weighed_when_all_gateways_have_reported_it) {
+  prompt_quarantine first;
+  prompt_quarantine second;
+  answer_often(first, "P");
+  answer_often(second, "P");
+  time_point now = start + seconds(2);
+  for (int i = 0; i < 6; ++i) {
+    second.record_end(fmt::format("e{}", i), {"new", "X"}, now);
+    first.merge(second.state(now), now + milliseconds(30));
+    now += milliseconds(350);
+  }
+  first.record_end("e6", {"new", "Y"}, now);
+  second.record_end("e6", {"new", "X"}, now);
+  BOOST_TEST(!first.find_quarantined({"new", "Y"}, now).has_value());
+  first.merge(second.state(now), now + milliseconds(50));
+  now += milliseconds(300);
+  BOOST_TEST(first.find_quarantined({"new", "X"}, now).has_value());
+  BOOST_TEST(!first.find_quarantined({"new", "Y"}, now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(last_part_of_a_prompt_is_never_shared) {
   BOOST_TEST(shared_parts({}).empty());
   BOOST_TEST(shared_parts({{"a", 1}}).empty());
