--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -639,6 +639,7 @@
     }
     suspicion together = unknown.front();
     std::vector<std::string> parts;
+    parts.reserve(unknown.size());
     for (const suspicion& each : unknown) {
       parts.push_back(each.part);
     }
--- a/test/gateway-endless-answer-test.cc
+++ b/test/gateway-endless-answer-test.cc
@@ -203,6 +203,7 @@
   BOOST_REQUIRE(publish(1).status == status_ok);
   wait_until_ready();
   std::vector<std::unique_ptr<waiting_caller>> waiting;
+  waiting.reserve(callers_at_once);
   for (int i = 0; i < callers_at_once; ++i) {
     waiting.push_back(std::make_unique<waiting_caller>(
         loop, callers, raw_request(of.stream, i)));
