--- a/src/control/group_manager.cc
+++ b/src/control/group_manager.cc
@@ -78,7 +78,8 @@
              options_.address;
 }
 
-// The successor may have started when the member was last heard from.
+// Counted from when the member was last heard from, since its successor may
+// have started right then.
 bool group_manager::is_lost(const std::string& process, time_point now) const {
   const auto found = lost_sessions_.find(process);
   return found != lost_sessions_.end() &&
@@ -90,14 +91,17 @@
 std::string group_manager::replacement_reason(const replica_member& member,
                                               time_point now) const {
   const auto report = leaving_.find(member.id);
-  const bool reported =
-      report != leaving_.end() && now - report->second < leaving_lifetime;
   const bool own = member.process == options_.process;
-  if (own ? leaves_ : reported) {
+  const bool leaves =
+      own ? leaves_
+          : report != leaving_.end() && now - report->second < leaving_lifetime;
+  if (leaves) {
     return member.process + " leaves";
   }
-  return !own && is_lost(member.process, now) ? member.process + " is lost"
-                                              : "";
+  if (!own && is_lost(member.process, now)) {
+    return member.process + " is lost";
+  }
+  return "";
 }
 
 std::optional<group_step> group_manager::next_step(const group_state& state,
--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -16,7 +16,8 @@
 
 constexpr std::size_t max_id_bytes = 64;
 
-// Separates the parts of a quarantine of several.
+// Separates the parts in the key of a quarantine of several parts. No id of a
+// part has one, see bounded_id().
 constexpr char part_separator = ' ';
 
 std::string bounded_id(const std::string& id) {
@@ -280,8 +281,9 @@
          });
 }
 
-// Ends the quarantines of these parts or this request, and narrows those of
-// further parts to these. Returns whether there were any.
+// Releases each quarantine of which all parts, or whose request, were answered.
+// One of which some were answered is narrowed to the others. Returns whether
+// any changed.
 bool prompt_quarantine::release_answered(const std::vector<std::string>& parts,
                                          time_point began_at, time_point now) {
   std::vector<quarantine> narrowed;
@@ -583,8 +585,8 @@
   return true;
 }
 
-// Returns whether prompts with all these parts are refused.
-bool prompt_quarantine::refuses_any_of(const std::string& key,
+// Returns whether a prompt with all parts of this key is refused.
+bool prompt_quarantine::refuses_all_of(const std::string& key,
                                        time_point now) const {
   const std::vector<std::string> parts = parts_of(key);
   return std::any_of(
@@ -610,7 +612,7 @@
   for (const suspicion& each : unknown) {
     max_ends = std::max(max_ends, each.ends);
   }
-  // Other gateways may have seen another part at the newest ends.
+  // Other gateways may still report another suspect of the newest ends.
   const auto newest = static_cast<std::size_t>(
       std::count_if(ends_.begin(), ends_.end(), [&](const server_end& each) {
         return now - each.at < options_.settling_time;
@@ -644,7 +646,7 @@
       parts.push_back(each.part);
     }
     together.part = key_of(sorted(parts));
-    return refuses_any_of(together.part, now)
+    return refuses_all_of(together.part, now)
                ? std::vector<suspicion>{}
                : std::vector<suspicion>{together};
   }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -258,7 +258,7 @@
   void remember_sound(const std::string& part, time_point began_at);
   bool release_answered(const std::vector<std::string>& parts,
                         time_point began_at, time_point now);
-  bool refuses_any_of(const std::string& key, time_point now) const;
+  bool refuses_all_of(const std::string& key, time_point now) const;
   bool has_ended_again(const quarantine& of) const;
   void report_suspects(time_point now);
   void report_merged(const std::string& part, const quarantine& of,
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -53,7 +53,7 @@
 constexpr int max_failed_prefills = 2;
 // An engine response that is not a stream explains the error in a few lines.
 constexpr std::size_t max_error_bytes = 64U << 10U;
-// Keep-alives between two events: thousands of times what a sound engine sends.
+// Comments between two events. An engine that sends more sends no answer.
 constexpr std::size_t max_comment_bytes = 64U << 10U;
 // An answer that lasts this long and has so many events goes on: a part of the
 // prompt that crashes engines does so within a quarter of this time, before the
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -465,7 +465,8 @@
   if (overflowed_) {
     return;
   }
-  // Small parts share a buffer; the first one is being written.
+  // Joins small parts, but for the first one in the queue, which is being
+  // written.
   constexpr std::size_t max_joined_bytes = 16U << 10U;
   const bool behind = queue_.size() > 1;
   const bool too_much =
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -281,8 +281,8 @@
 
 }  // namespace
 
-// Guards against requests that come at once, as from a batch, and end as many
-// engines each time because ends at the same time counted as one.
+// Guards against a part that is not found because its requests come at once, as
+// from a batch: the ends of their engines counted as one.
 BOOST_AUTO_TEST_CASE(part_of_requests_that_come_at_once_is_quarantined) {
   prompt_quarantine first;
   prompt_quarantine second;
