--- a/test/gateway-endless-answer-test.cc
+++ b/test/gateway-endless-answer-test.cc
@@ -27,15 +27,17 @@
 
 constexpr int status_ok = 200;
 constexpr int callers_at_once = 150;
-// Of the smallest machines, a process has 88 MB.
+// Memory of a process on the smallest machines.
 constexpr std::size_t max_memory_mb = 88;
 constexpr std::size_t piece_bytes = 64U << 10U;
 constexpr auto observed_time = seconds(3);
 
+enum class answer_to { plain_request, generation, prefill, hold };
+
 // What a server sends before its endless bytes, and these.
 struct endless_answer {
   std::string name;
-  bool stream = false;
+  answer_to to = answer_to::plain_request;
   std::string begin;
   std::string endless;
 };
@@ -52,27 +54,35 @@
     "Transfer-Encoding: chunked\r\n\r\n";
 
 const endless_answer answers[] = {
-    {"blank_lines", true, stream_head, "\n"},
-    {"comments", true, stream_head, ":k\n\n"},
-    {"blank_lines_after_an_event", true, stream_head + event(1), "\n"},
-    {"event_without_end", true, stream_head + "data: ", "x"},
-    {"events", true, stream_head, "data: x\n\n"},
-    {"error_of_a_stream", true, "HTTP/1.1 500 E\r\n\r\n", "x"},
-    {"head_of_a_stream", true, "HTTP/1.1 200 OK\r\nA: ", "x"},
-    {"fields_of_a_stream", true, "HTTP/1.1 200 OK\r\n", "A: x\r\n"},
-    {"interim_answers", false, "", "HTTP/1.1 100 Continue\r\n\r\n"},
-    {"head", false, "HTTP/1.1 200 OK\r\nA: ", "x"},
-    {"status_line", false, "HTTP/1.1 200 ", "x"},
-    {"body_without_length", false,
+    {"blank_lines", answer_to::generation, stream_head, "\n"},
+    {"comments", answer_to::generation, stream_head, ":k\n\n"},
+    {"blank_lines_after_an_event", answer_to::generation,
+     stream_head + event(1), "\n"},
+    {"event_without_end", answer_to::generation, stream_head + "data: ", "x"},
+    {"events", answer_to::generation, stream_head, "data: x\n\n"},
+    {"error_of_a_stream", answer_to::generation, "HTTP/1.1 500 E\r\n\r\n", "x"},
+    {"head_of_a_stream", answer_to::generation, "HTTP/1.1 200 OK\r\nA: ", "x"},
+    {"fields_of_a_stream", answer_to::generation, "HTTP/1.1 200 OK\r\n",
+     "A: x\r\n"},
+    {"interim_answers", answer_to::plain_request, "",
+     "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"head", answer_to::plain_request, "HTTP/1.1 200 OK\r\nA: ", "x"},
+    {"status_line", answer_to::plain_request, "HTTP/1.1 200 ", "x"},
+    {"body_without_length", answer_to::plain_request,
      "HTTP/1.1 200 OK\r\nCitronwharf-Server-Stamp: s\r\n\r\n", "x"},
-    {"chunks", false, chunked_head, "1\r\nx\r\n"},
-    {"chunk_extension", false, chunked_head + "1;", "x"},
-    {"trailers", false, chunked_head + "1\r\nx\r\n0\r\n", "A: x\r\n"},
-    {"after_the_answer", false,
+    {"chunks", answer_to::plain_request, chunked_head, "1\r\nx\r\n"},
+    {"chunk_extension", answer_to::plain_request, chunked_head + "1;", "x"},
+    {"trailers", answer_to::plain_request, chunked_head + "1\r\nx\r\n0\r\n",
+     "A: x\r\n"},
+    {"after_the_answer", answer_to::plain_request,
      "HTTP/1.1 200 OK\r\nCitronwharf-Server-Stamp: s\r\n"
      "Content-Length: 1\r\n\r\nx",
      "x"},
-    {"no_http", false, "", "x"},
+    {"no_http", answer_to::plain_request, "", "x"},
+    {"prefill", answer_to::prefill, "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"head_of_a_prefill", answer_to::prefill, "HTTP/1.1 200 OK\r\nA: ", "x"},
+    {"hold", answer_to::hold, "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"head_of_a_hold", answer_to::hold, "HTTP/1.1 200 OK\r\nA: ", "x"},
 };
 
 std::string repeat(const std::string& text) {
@@ -88,6 +98,7 @@
  public:
   pouring_server(boost::asio::io_context& loop, const endless_answer& of)
       : acceptor_(loop, {boost::asio::ip::tcp::v4(), 0}),
+        grants_holds_(of.to != answer_to::hold),
         begin_(of.begin),
         piece_(repeat(of.endless)) {
     accept();
@@ -122,7 +133,7 @@
           }
           const std::string request(from->request.data(), bytes);
           const bool hold = request.find("/-/") != std::string::npos;
-          if (!hold) {
+          if (!hold || !grants_holds_) {
             pour(from, begin_.empty() ? piece_ : begin_);
             return;
           }
@@ -148,6 +159,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  bool grants_holds_;
   std::string begin_;
   std::string piece_;
 };
@@ -195,8 +207,10 @@
   pouring_server faulty(loop, of);
   for (json& each : instances) {
     const std::string id = each["id"];
-    const bool pours = of.stream ? id == "d1" || id == "d2" : id == "s1";
-    if (pours) {
+    const char kind = of.to == answer_to::plain_request ? 's'
+                      : of.to == answer_to::prefill     ? 'p'
+                                                        : 'd';
+    if (id.front() == kind) {
       each["addr"] = faulty.address();
     }
   }
@@ -206,7 +220,7 @@
   waiting.reserve(callers_at_once);
   for (int i = 0; i < callers_at_once; ++i) {
     waiting.push_back(std::make_unique<waiting_caller>(
-        loop, callers, raw_request(of.stream, i)));
+        loop, callers, raw_request(of.to != answer_to::plain_request, i)));
   }
   std::size_t peak = 0;
   const auto end = steady_clock::now() + observed_time;
