Send a request over each connection once only

A server may write the copy of a refusal before a later response. It has the id of the request that was refused, so it could not be told from the response to the same request, sent once more on that connection: the gateway believed the copy, answered 503 "not run" or went on to another server, and the request ran twice (TWICE, as users saw on processes of their own).

Cause: http_pool matches responses to calls by the request id alone. What kept a request from the connection that had refused it was `tried_servers_`, a set of directory ids, while the pool goes by address: a server that is listed under two ids was sent the request again. Ruled out: believing no refusal on such a connection, since the server may really refuse twice.

A connection now remembers the ids that it has carried, and is not given a call with one of them; after 256 ids it is closed.

Before, on: the request ran at two servers in 5 of 5 rounds of repeated_refusal_is_not_believed_by_the_request_that_it_names, and http_pool-test failed three checks. After: none failed, one run each.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -234,6 +234,7 @@
 pooled_call request_forwarder::call_for_request(
     const std::string& address) const {
   pooled_call out = make_pooled_call(context_, address);
+  out.id = request_.caller.id;
   if (route().repeat == repeatability::at_most_once) {
     out.max_idle = max_idle_not_repeatable;
   }
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -11,11 +11,13 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
+#include <functional>
 #include <limits>
 #include <list>
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "net/address.h"
 
@@ -40,6 +42,9 @@
 // Limit on late responses to other calls and interim responses that are read
 // before the response to this call.
 constexpr int max_skipped_responses = 8;
+// A connection that has carried so many ids is closed, which bounds the memory
+// that they take.
+constexpr std::size_t max_carried_ids = 256;
 
 std::string serialize(const std::string& address, const http_request& request) {
   std::string out = fmt::format("{} {} HTTP/1.1\r\n", request.method,
@@ -110,6 +115,12 @@
   bool reusable(time_point now, duration max_idle);
   /// Returns whether every response so far identified its call.
   bool identified() const { return identified_; }
+  /// Returns whether a call with this id was sent over the connection.
+  bool carried(const std::string& id) const {
+    return !id.empty() &&
+           std::find(carried_ids_.begin(), carried_ids_.end(),
+                     std::hash<std::string>()(id)) != carried_ids_.end();
+  }
   const std::string& address() const { return address_; }
   time_point idle_since() const { return idle_since_; }
 
@@ -146,6 +157,7 @@
   bool skipping_ = false;  // the response belongs to another call
   int skipped_ = 0;        // responses
   bool identified_ = true;
+  std::vector<std::size_t> carried_ids_;  // hashes
   bool keep_alive_ = false;
   std::optional<duration> server_idle_timeout_;
   time_point idle_since_{};
@@ -218,8 +230,8 @@
 
  private:
   // Takes the connection that was idle for the shortest time out of those that
-  // are identified, or out of those that are not. Returns null if none can be
-  // reused.
+  // are identified, or out of those that are not, and have not carried the id
+  // of the call. Returns null if none can be reused.
   std::shared_ptr<pooled_connection> take_idle(const pooled_call& call,
                                                bool identified) {
     const auto found = idle_.find(call.address);
@@ -229,7 +241,7 @@
     auto& idle = found->second;
     for (auto next = idle.end(); next != idle.begin();) {
       --next;
-      if ((*next)->identified() != identified) {
+      if ((*next)->identified() != identified || (*next)->carried(call.id)) {
         continue;
       }
       auto connection = *next;
@@ -255,6 +267,9 @@
   call_ = std::move(call);
   handlers_ = std::move(handlers);
   request_bytes_ = serialize(address_, request);
+  if (!call_.id.empty()) {
+    carried_ids_.push_back(std::hash<std::string>()(call_.id));
+  }
   busy_ = true;
   sent_ = false;
   if (!connected_) {
@@ -456,7 +471,8 @@
   const auto pool = pool_.lock();
   // A server that only gets calls that need an identified connection would
   // never see the connection used again.
-  const bool useful = identified_ || !call_.needs_identified_connection;
+  const bool useful = (identified_ || !call_.needs_identified_connection) &&
+                      carried_ids_.size() < max_carried_ids;
   if (keep_alive_ && request_written_ && buffer_.size() == 0 && useful &&
       pool) {
     add_idle(
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -30,6 +30,10 @@
 /// Options of one call over a pooled connection.
 struct pooled_call {
   std::string address;  ///< "ip:port"
+  /// Id that responses repeat, or "". A connection carries an id once, since
+  /// the copy of a response to an earlier call with the id could not be told
+  /// from the response to this one.
+  std::string id;
   duration connect_timeout = milliseconds(500);
   /// An idle connection is reused only if it was idle for less than this.
   duration max_idle = seconds(4);
@@ -58,7 +62,8 @@
 ///
 /// A faulty server may send a response twice. The second one is mistaken for
 /// the response to the next call on the connection if neither identifies its
-/// call; see pooled_call::needs_identified_connection.
+/// call, see pooled_call::needs_identified_connection, or if both identify the
+/// same call, see pooled_call::id.
 class http_pool {
  public:
   http_pool(boost::asio::io_context& loop, http_pool_options options);
--- a/test/gateway-repeated-answer-test.cc
+++ b/test/gateway-repeated-answer-test.cc
@@ -257,6 +257,63 @@
   BOOST_TEST(got.body == "done ");
 }
 
+// One server is listed under two ids, as while its entry is replaced.
+BOOST_FIXTURE_TEST_CASE(
+    repeated_refusal_is_not_believed_by_the_request_that_it_names,
+    gateway_fixture) {
+  std::map<std::string, int> executions;  // by request id
+  std::string refused_id;
+  std::shared_ptr<raw_connection> refused_on;
+  raw_server server(loop, [&](const std::string& request,
+                              const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    const std::string headers = "Citronwharf-Request-Id: " + id + "\r\n";
+    const std::string refusal_of_id =
+        raw_reply(headers + "Citronwharf-Not-Run: 1\r\n", "refused", 503);
+    if (id != refused_id) {
+      refused_id = id;
+      refused_on = caller;
+      caller->write(refusal_of_id);
+      return;
+    }
+    ++executions[id];
+    caller->write(
+        (caller == refused_on ? refusal_of_id : "") +
+        raw_reply(headers + "Citronwharf-Server-Stamp: s\r\n", "done " + id));
+  });
+  raw_server other(loop, [&](const std::string& request,
+                             const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    const std::string headers = "Citronwharf-Request-Id: " + id + "\r\n";
+    ++executions[id];
+    caller->write(
+        raw_reply(headers + "Citronwharf-Server-Stamp: s\r\n", "done " + id));
+  });
+  instances = json::array();
+  for (const char* id : {"s1", "s2"}) {
+    instances.push_back({{"id", id},
+                         {"service", "desk"},
+                         {"addr", server.address()},
+                         {"zone", "z1"},
+                         {"slots", 8},
+                         {"state", "ready"}});
+  }
+  instances.push_back(instances.front());
+  instances.back()["id"] = "s3";
+  instances.back()["addr"] = other.address();
+  instances.back()["zone"] = "z2";
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_until_ready();
+  wait_until_fleet_is_known();
+  for (int round = 0; round < 5; ++round) {
+    const http_request request = request_to("/c/1");
+    const http_response got = call(callers, request);
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(got.body == "done " + id_of(request));
+    BOOST_TEST(executions[id_of(request)] == 1);
+  }
+}
+
 // The engine that refuses the prefill changes its stage meanwhile; the other
 // engine refuses everything.
 BOOST_FIXTURE_TEST_CASE(
--- a/test/http_pool-test.cc
+++ b/test/http_pool-test.cc
@@ -103,10 +103,11 @@
   std::string call(
       const std::string& address,
       std::function<response_match(const http_response&)> match = {},
-      bool needs_identified_connection = false) {
+      bool needs_identified_connection = false, const std::string& id = "") {
     std::string result;
     pooled_call call_options;
     call_options.address = address;
+    call_options.id = id;
     call_options.match = std::move(match);
     call_options.needs_identified_connection = needs_identified_connection;
     const auto running =
@@ -167,6 +168,44 @@
   BOOST_TEST(server.connections == 2);
 }
 
+// The copy of a refusal has the id of the call that was refused.
+BOOST_FIXTURE_TEST_CASE(repeated_refusal_ends_no_later_call_with_its_id,
+                        fixture) {
+  const std::string refusal =
+      "HTTP/1.1 503 -\r\nContent-Length: 7\r\nX-Id: 1\r\n\r\nrefused";
+  scripted_server server(loop, {refusal, complete_response});
+  BOOST_TEST(call(server.address(), match_id("1"), true, "1") == "refused");
+  server.repeats_on_first_connection = refusal;
+  BOOST_TEST(call(server.address(), match_id("1"), true, "1") == "ok");
+  BOOST_TEST(server.connections == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(connection_carries_calls_with_other_ids, fixture) {
+  constexpr int calls = 20;
+  scripted_server server(loop,
+                         std::deque<std::string>(calls, complete_response));
+  for (int number = 0; number < calls; ++number) {
+    BOOST_TEST(call(server.address(), match_id("1"), true,
+                    fmt::format("q{}", number)) == "ok");
+  }
+  BOOST_TEST(server.connections == 1);
+}
+
+// However many calls a connection carries, each id stays known.
+BOOST_FIXTURE_TEST_CASE(id_is_known_after_many_calls, fixture) {
+  constexpr int calls = 2000;
+  scripted_server server(loop,
+                         std::deque<std::string>(calls + 2, complete_response));
+  BOOST_TEST(call(server.address(), match_id("1"), true, "1") == "ok");
+  for (int number = 0; number < calls; ++number) {
+    BOOST_REQUIRE(call(server.address(), match_id("1"), true,
+                       fmt::format("q{}", number)) == "ok");
+  }
+  server.repeats_on_first_connection =
+      "HTTP/1.1 503 -\r\nContent-Length: 7\r\nX-Id: 1\r\n\r\nrefused";
+  BOOST_TEST(call(server.address(), match_id("1"), true, "1") == "ok");
+}
+
 BOOST_FIXTURE_TEST_CASE(connection_is_closed_after_unidentified_response,
                         fixture) {
   const std::string unidentified =
