--- a/test/raw_client.h
+++ b/test/raw_client.h
@@ -93,6 +93,11 @@
     boost::system::error_code ignored;
     boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
   }
+  /// Closes the connection. ended() follows.
+  void close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
   bool ended() const { return ended_; }
   const std::string& bytes() const { return received_; }
   /// Precondition: ended().
