Read the software versions of servers and what a caller resumes

The list of servers names the version of each server's software. An entry without a valid one names no server to use, like one without any other field that every entry has; the stand-ins of the tests now list their servers with a version. A caller that resumes a stream names the attempt that began it in `Resumes`; more than one such header names none.

--- a/src/gateway/codec.cc
+++ b/src/gateway/codec.cc
@@ -8,7 +8,7 @@
 template <typename Server>
 auto tied_members(Server& of) {
   return std::tie(of.id, of.service, of.address, of.failure_domain, of.slots,
-                  of.leaving, of.stage);
+                  of.leaving, of.stage, of.software_version);
 }
 
 }  // namespace
@@ -33,6 +33,7 @@
   in.at(4).get_to(value.slots);
   in.at(5).get_to(value.leaving);
   in.at(6).get_to(value.stage);
+  in.at(7).get_to(value.software_version);
 }
 
 }  // namespace citronwharf
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -41,6 +41,9 @@
   std::vector<prompt_part> prompt;
   /// Last event received, if the caller resumes an interrupted stream.
   std::optional<std::int64_t> last_event;
+  /// Id of the caller's attempt that brought the first event of the stream that
+  /// it resumes, or "".
+  std::string resumes;
 };
 
 /// Part of a generation that a server is asked to run.
@@ -139,6 +142,8 @@
   std::int64_t slots = 0;
   bool leaving = false;
   engine_stage stage = engine_stage::none;
+  /// Of the server's software, not of its weights. Versions have no order.
+  std::string software_version;
 };
 bool operator==(const listed_server& lhs, const listed_server& rhs);
 bool operator!=(const listed_server& lhs, const listed_server& rhs);
--- a/test/gateway-crashing-part-test.cc
+++ b/test/gateway-crashing-part-test.cc
@@ -93,6 +93,7 @@
                                {"service", "models"},
                                {"addr", engine.server->address()},
                                {"zone", "z1"},
+                               {"version", "v1"},
                                {"slots", 8},
                                {"state", "ready"},
                                {"stage", "decode"}});
--- a/test/gateway-repeated-answer-test.cc
+++ b/test/gateway-repeated-answer-test.cc
@@ -40,6 +40,7 @@
                  {"service", service},
                  {"addr", server->address()},
                  {"zone", "z1"},
+                 {"version", "v1"},
                  {"slots", 8},
                  {"state", "ready"}};
       if (!stage.empty()) {
@@ -295,6 +296,7 @@
                          {"service", "desk"},
                          {"addr", server.address()},
                          {"zone", "z1"},
+                         {"version", "v1"},
                          {"slots", 8},
                          {"state", "ready"}});
   }
--- a/test/gateway-servers-test.cc
+++ b/test/gateway-servers-test.cc
@@ -202,6 +202,7 @@
         {"service", "models"},
         {"addr", stage == "prefill" ? prefill.address() : engine.address()},
         {"zone", "z1"},
+        {"version", "v1"},
         {"slots", 8},
         {"state", "ready"},
         {"stage", stage}};
--- a/test/gateway-stall-test.cc
+++ b/test/gateway-stall-test.cc
@@ -28,6 +28,7 @@
                                {"service", "models"},
                                {"addr", engine->address()},
                                {"zone", "z1"},
+                               {"version", "v1"},
                                {"slots", 8},
                                {"state", "ready"},
                                {"stage", "decode"}});
--- a/test/gateway_fakes.h
+++ b/test/gateway_fakes.h
@@ -56,8 +56,9 @@
 // Returns the directory's entry of a server.
 inline nlohmann::json listed(const std::string& id, const std::string& service,
                              const fake_server& server) {
-  return {{"id", id},     {"service", service}, {"addr", server.address()},
-          {"zone", "z1"}, {"slots", 8},         {"state", "ready"}};
+  return {{"id", id},        {"service", service}, {"addr", server.address()},
+          {"zone", "z1"},    {"slots", 8},         {"version", "v1"},
+          {"state", "ready"}};
 }
 
 // Returns a directory of one page.
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -48,8 +48,9 @@
 
   void list(const std::string& id, const std::string& service,
             const std::string& stage, const std::string& address) {
-    json entry{{"id", id},     {"service", service}, {"addr", address},
-               {"zone", "z1"}, {"slots", 8},         {"state", "ready"}};
+    json entry{{"id", id},        {"service", service}, {"addr", address},
+               {"zone", "z1"},    {"slots", 8},         {"version", "v1"},
+               {"state", "ready"}};
     if (!stage.empty()) {
       entry["stage"] = stage;
     }
--- a/test/odd-list-entry-test.cc
+++ b/test/odd-list-entry-test.cc
@@ -21,9 +21,13 @@
 
 // Returns an entry whose members are JSON texts.
 std::string entry_text(const std::map<std::string, std::string>& changed = {}) {
-  std::map<std::string, std::string> members{
-      {"id", "\"odd\""},  {"service", "\"desk\""}, {"addr", "\"127.0.0.1:1\""},
-      {"zone", "\"z1\""}, {"slots", "8"},          {"state", "\"ready\""}};
+  std::map<std::string, std::string> members{{"id", "\"odd\""},
+                                             {"service", "\"desk\""},
+                                             {"addr", "\"127.0.0.1:1\""},
+                                             {"zone", "\"z1\""},
+                                             {"slots", "8"},
+                                             {"version", "\"v1\""},
+                                             {"state", "\"ready\""}};
   for (const auto& [name, value] : changed) {
     members[name] = value;
   }
@@ -84,7 +88,8 @@
       {"a long zone",
        entry_text({{"zone", "\"" + std::string(70000, 'z') + "\""}})},
   };
-  for (const char* field : {"id", "service", "addr", "zone", "state"}) {
+  for (const char* field :
+       {"id", "service", "addr", "zone", "version", "state"}) {
     for (const char* value :
          {"5", "null", "{}", "[]", "true", "\"a\\r\\nX-Forged: 1\"",
           "\"a\\\"b\"", "\"a b\"", "\"\\u007f\""}) {
@@ -111,6 +116,14 @@
     out.push_back({fmt::format("address {}", address),
                    entry_text({{"addr", fmt::format("\"{}\"", address)}})});
   }
+  out.push_back(
+      {"a long version",
+       entry_text({{"version", "\"" + std::string(70000, 'v') + "\""}})});
+  std::string unversioned = entry_text();
+  const std::string version = ",\"version\":\"v1\"";
+  unversioned.erase(unversioned.find(version), version.size());
+  out.push_back({"no version", unversioned});
+  out.push_back({"an empty version", entry_text({{"version", "\"\""}})});
   out.push_back({"no id", entry_text({{"id", "\"\""}})});
   out.push_back({"stage", entry_text({{"stage", "\"encode\""}})});
   out.push_back({"stage 5", entry_text({{"stage", "5"}})});
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -169,6 +169,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(resumed_stream_is_named_by_the_request_that_began_it) {
+  http_request in = sample_request();
+  BOOST_TEST(platform::read_request(in).resumes.empty());
+  in.headers.push_back({"resumes", "7b20"});
+  caller_request read = platform::read_request(in);
+  BOOST_TEST(read.resumes == "7b20");
+  BOOST_TEST(read.id == "9c41");
+  BOOST_TEST(*read.last_event == 12);
+  // Which of several names is meant is not known.
+  in.headers.push_back({"Resumes", "8c31"});
+  read = platform::read_request(in);
+  BOOST_TEST(read.resumes.empty());
+  BOOST_TEST(*read.last_event == 12);
+}
+
 BOOST_AUTO_TEST_CASE(load_and_not_run_are_read_from_a_response) {
   http_response head;
   head.status = 503;
@@ -189,24 +204,37 @@
 BOOST_AUTO_TEST_CASE(invalid_entries_of_the_server_list_are_skipped) {
   nlohmann::json valid_entry{{"id", "i-1"},          {"service", "models"},
                              {"addr", "1.2.3.4:80"}, {"zone", "z1"},
-                             {"slots", 128},         {"state", "ready"},
-                             {"stage", "decode"}};
+                             {"version", "v1"},      {"slots", 128},
+                             {"state", "ready"},     {"stage", "decode"}};
   nlohmann::json page{{"instances", {valid_entry}}, {"next", "p-50"}};
   const std::pair<const char*, nlohmann::json> invalid_fields[] = {
-      {"id", 5},         {"addr", nullptr},   {"state", "asleep"},
-      {"slots", "many"}, {"stage", "encode"}, {"service", nlohmann::json()}};
+      {"id", 5},
+      {"addr", nullptr},
+      {"state", "asleep"},
+      {"slots", "many"},
+      {"stage", "encode"},
+      {"service", nlohmann::json()},
+      {"version", 1.2},
+      {"version", ""},
+      {"version", nullptr},
+      {"version", std::string(300, 'v')},
+      {"version", "v 1"}};
   for (const auto& [field, value] : invalid_fields) {
     nlohmann::json entry = valid_entry;
     entry[field] = value;
     page["instances"].push_back(entry);
   }
+  nlohmann::json without_version = valid_entry;
+  without_version.erase("version");
+  page["instances"].push_back(without_version);
   page["instances"].push_back("a word");
   auto read = platform::read_servers(page.dump());
   BOOST_REQUIRE(read.ok());
   BOOST_TEST(read->servers.size() == 1U);
-  BOOST_TEST(read->unreadable == 7U);
+  BOOST_TEST(read->unreadable == 13U);
   BOOST_TEST(read->next == "p-50");
   BOOST_TEST((read->servers[0].stage == engine_stage::decode));
+  BOOST_TEST(read->servers[0].software_version == "v1");
   // A byte of invalid UTF-8 makes at most its own entry unreadable.
   std::string text = page.dump();
   text.replace(text.find("a word"), 1, "\xff");
--- a/test/scripted_servers.h
+++ b/test/scripted_servers.h
@@ -73,6 +73,7 @@
                  {"service", service},
                  {"addr", server.address()},
                  {"zone", "z1"},
+                 {"version", "v1"},
                  {"slots", 8},
                  {"state", "ready"}};
       if (!stage.empty()) {
--- a/test/soak_engines.h
+++ b/test/soak_engines.h
@@ -50,9 +50,13 @@
 
   /// Returns the directory's entry.
   nlohmann::json entry() const {
-    return {{"id", id_},       {"service", service_},
-            {"zone", "z1"},    {"addr", server_.address()},
-            {"slots", 64},     {"stage", prefills_ ? "prefill" : "decode"},
+    return {{"id", id_},
+            {"service", service_},
+            {"zone", "z1"},
+            {"version", "v1"},
+            {"addr", server_.address()},
+            {"slots", 64},
+            {"stage", prefills_ ? "prefill" : "decode"},
             {"state", "ready"}};
   }
   const std::string& id() const { return id_; }
