Place a generation at engines of one software version

A stream that has begun may need a decode engine of its version. The leader's scheduler and the list of a gateway take the version as a constraint; prompts may be read at any version. A stream that waits for its version only delays those that want the same engines, and no new request takes the memory it waits for. A server that leaves still takes such a stream for a second, if there is no other of its version.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -16,7 +16,7 @@
 constexpr double requests_per_prompt = 1;
 
 granted_engine to_granted(const listed_server& in) {
-  return {in.id, in.address, in.failure_domain};
+  return {in.id, in.address, in.failure_domain, in.software_version};
 }
 
 }  // namespace
@@ -83,7 +83,11 @@
 bool engine_scheduler::serves_stage(const engine& candidate,
                                     const placement_ask& ask,
                                     engine_stage stage, time_point now) {
+  const bool other_version =
+      stage == engine_stage::decode && !ask.software_version.empty() &&
+      candidate.listed.software_version != ask.software_version;
   return candidate.listed.service == ask.service && !candidate.listed.leaving &&
+         !other_version &&
          candidate.stage_switch.stage_now(candidate.listed.stage, now) == stage;
 }
 
@@ -105,6 +109,8 @@
     if (!serves_stage(each, ask, engine_stage::decode, now) ||
         now < each.full_until || !usable(each, now) ||
         ask.excluded.count(id) != 0 ||
+        (ask.software_version.empty() &&
+         state.awaited_versions.count(each.listed.software_version) != 0) ||
         !takes_requests(id, requests_per_generation)) {
       continue;
     }
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -454,15 +454,34 @@
   return true;
 }
 
+// Places streams that have begun, in order. One that waits for an engine of its
+// software version only delays those that could go to the same engines. Returns
+// whether other requests may be placed.
+bool engine_scheduler::place_under_way(service& state, time_point now,
+                                       std::vector<placement_decision>& out) {
+  state.awaited_versions.clear();
+  for (auto next = state.under_way.begin(); next != state.under_way.end();) {
+    const std::uint64_t number = *next;
+    const std::string version = state.requests.at(number).ask.software_version;
+    if (state.awaited_versions.count(version) != 0) {
+      ++next;
+    } else if (try_place(state, number, now, out)) {
+      next = state.under_way.erase(next);
+      state.requests.erase(number);
+    } else if (version.empty()) {
+      return false;
+    } else {
+      state.awaited_versions.insert(version);
+      ++next;
+    }
+  }
+  return true;
+}
+
 void engine_scheduler::place_waiting(service& state, time_point now,
                                      std::vector<placement_decision>& out) {
-  while (!state.under_way.empty()) {
-    const std::uint64_t number = state.under_way.front();
-    if (!try_place(state, number, now, out)) {
-      return;
-    }
-    state.under_way.pop_front();
-    state.requests.erase(number);
+  if (!place_under_way(state, now, out)) {
+    return;
   }
   for (fair_queue* queue : {&state.fresh, &state.returned}) {
     while (const auto item = queue->peek()) {
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -202,6 +202,9 @@
     std::int64_t sampled_streams = 0;  // in tokens_per_second
     std::optional<prefill_speed> prefill;
     std::deque<std::uint64_t> under_way;  // request numbers
+    // Software versions that streams under way wait for. Their engines take no
+    // other requests.
+    std::set<std::string> awaited_versions;
     fair_queue fresh;
     fair_queue returned;
     std::map<std::uint64_t, waiting_request> requests;  // by number
@@ -269,6 +272,8 @@
                             time_point now) const;
   duration predicted_wait(const std::string& name, service& state,
                           const waiting_request& waiting, time_point now) const;
+  bool place_under_way(service& state, time_point now,
+                       std::vector<placement_decision>& out);
   void place_waiting(service& state, time_point now,
                      std::vector<placement_decision>& out);
   bool try_place(service& state, std::uint64_t number, time_point now,
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -39,6 +39,7 @@
   out.address = in.address;
   out.failure_domain = in.failure_domain;
   out.stage = stage;
+  out.software_version = in.software_version;
   return out;
 }
 
@@ -175,6 +176,9 @@
   need.preferred_domain = context_.failure_domain;
   need.excluded = need_.ask.excluded;
   need.excluded.insert(full_engines_.begin(), full_engines_.end());
+  if (stage != engine_stage::prefill) {
+    need.software_version = need_.ask.software_version;
+  }
   return need;
 }
 
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -14,6 +14,8 @@
 // resort.
 constexpr double ejected_cost = 1000;
 constexpr double full_cost = 10;
+// Cost added for a server that is shutting down.
+constexpr double leaving_cost = 1;
 // Cost added for a server whose limit is used up, and for each second until it
 // takes another request. Less than that of a server that failed, since waiting
 // helps.
@@ -42,6 +44,9 @@
     state.listed_leaving = each.leaving;
     listed_server merged = each;
     merged.leaving = each.leaving || now < state.leaving_until;
+    if (merged.leaving && !state.listed.leaving) {
+      state.leaving_since = now;
+    }
     changed = changed || state.listed != merged;
     state.listed = std::move(merged);
   }
@@ -97,6 +102,9 @@
   if (is_full(state, criteria, now)) {
     cost += full_cost;
   }
+  if (state.listed.leaving) {
+    cost += leaving_cost;
+  }
   if (state.ejection_state.holds(now) || now < state.outlier_until) {
     cost += ejected_cost;
   }
@@ -114,8 +122,14 @@
   double best_cost = std::numeric_limits<double>::max();
   for (const auto& [id, state] : servers_) {
     const listed_server& listed = state.listed;
-    if (listed.service != criteria.service || listed.leaving ||
+    const bool takes_resumed =
+        !criteria.software_version.empty() &&
+        now < state.leaving_since + options_.resume_at_leaving;
+    if (listed.service != criteria.service ||
+        (listed.leaving && !takes_resumed) ||
         criteria.excluded.count(id) != 0 || now < state.stage_switch.until ||
+        (!criteria.software_version.empty() &&
+         listed.software_version != criteria.software_version) ||
         in_backoff(state, now) ||
         (criteria.stage != engine_stage::none &&
          state.stage_switch.stage_now(listed.stage, now) != criteria.stage)) {
@@ -220,6 +234,23 @@
   return found != servers_.end() && now < found->second.stage_switch.until;
 }
 
+std::optional<std::string> server_list::software_version(
+    const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end()
+             ? std::nullopt
+             : std::optional(found->second.listed.software_version);
+}
+
+bool server_list::has_version(const std::string& service,
+                              const std::string& version) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+    const listed_server& listed = each.second.listed;
+    return listed.service == service && !listed.leaving &&
+           listed.software_version == version;
+  });
+}
+
 void server_list::mark_outlier(const std::string& id, duration span,
                                time_point now) {
   const auto found = servers_.find(id);
@@ -234,6 +265,9 @@
     return false;
   }
   found->second.leaving_until = now + options_.leaving_lifetime;
+  if (!found->second.listed.leaving) {
+    found->second.leaving_since = now;
+  }
   found->second.listed.leaving = true;
   return true;
 }
--- a/src/gateway/server_list.h
+++ b/src/gateway/server_list.h
@@ -30,6 +30,10 @@
   /// the directory lists it as ready again. Servers stop within seconds of the
   /// announcement.
   duration leaving_lifetime = seconds(60);
+  /// How long a leaving server takes streams that must go on at its software
+  /// version. Below the time for which servers serve after they announced their
+  /// shutdown, less the lag of the directory.
+  duration resume_at_leaving = milliseconds(1000);
   /// Requests already on their way may still reach a server this long after it
   /// asked for a back-off; none is sent later.
   duration backoff_grace = milliseconds(350);
@@ -46,6 +50,7 @@
   std::int64_t kv_tokens = 0;      ///< engine memory in tokens; 0: not limited
   std::string preferred_domain;    ///< preferred failure domain, or ""
   std::set<std::string> excluded;  ///< ids
+  std::string software_version;    ///< "": any
 };
 
 /// A chosen server and the data behind the choice.
@@ -106,6 +111,12 @@
   /// ends.
   void switching(const std::string& id, const announced_switch& announced);
   bool is_switching(const std::string& id, time_point now) const;
+  /// Returns the software version that the directory lists for a server.
+  std::optional<std::string> software_version(const std::string& id) const;
+  /// Returns whether the directory lists a server of this software version that
+  /// is not leaving.
+  bool has_version(const std::string& service,
+                   const std::string& version) const;
   /// Avoids, for a span, a server that fleet-wide outlier detection found to
   /// fail requests.
   void mark_outlier(const std::string& id, duration span, time_point now);
@@ -142,6 +153,7 @@
   struct server_state {
     listed_server listed;  // `leaving` is also set by its own announcement
     bool listed_leaving = false;
+    time_point leaving_since{};
     time_point leaving_until{};  // after its own announcement
     time_point backoff_started{};
     time_point backoff_until{};
--- a/src/wire/placement_messages.h
+++ b/src/wire/placement_messages.h
@@ -38,18 +38,22 @@
   std::int64_t max_wait_us = 0;    ///< until the first event
   std::int64_t gap_us = 0;         ///< objective between two events; 0: none
   std::set<std::string> excluded;  ///< ids of engines that failed this one
+  /// Software version of the decode engine; "": any. A stream that has begun
+  /// must not go on at another one.
+  std::string software_version;
 };
 CITRONWHARF_VALUE(placement_ask, id, service, organisation, prompt, turn,
                   prompt_tokens, output_tokens, split, max_wait_us, gap_us,
-                  excluded)
+                  excluded, software_version)
 
 /// An engine assigned by a grant.
 struct granted_engine {
   std::string id;  ///< "": no engine
   std::string address;
   std::string failure_domain;
+  std::string software_version;
 };
-CITRONWHARF_VALUE(granted_engine, id, address, failure_domain)
+CITRONWHARF_VALUE(granted_engine, id, address, failure_domain, software_version)
 
 enum class placement_outcome {
   placed,
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -6,7 +6,11 @@
 
 #include <boost/test/unit_test.hpp>
 #include <cmath>
+#include <map>
 #include <random>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace citronwharf {
 namespace {
@@ -204,6 +208,71 @@
   std::map<std::uint64_t, generation> generations_;
 };
 
+// Lists prefill engines p0.. and decode engines d0.., each of its version.
+engine_scheduler make_versioned_scheduler(
+    const std::vector<std::string>& prefill,
+    const std::vector<std::string>& decode) {
+  engine_scheduler out({});
+  engine_profile profile;
+  profile.kv_tokens = engine_memory;
+  out.set_profile("models", profile);
+  std::vector<listed_server> listed;
+  const auto add = [&](const std::vector<std::string>& versions,
+                       const char* name, engine_stage stage) {
+    for (std::size_t at = 0; at < versions.size(); ++at) {
+      listed.push_back(make_engine(fmt::format("{}{}", name, at), stage));
+      listed.back().software_version = versions[at];
+    }
+  };
+  add(prefill, "p", engine_stage::prefill);
+  add(decode, "d", engine_stage::decode);
+  out.set_engines(listed);
+  return out;
+}
+
+placement_ask make_resumed(std::uint64_t id, const std::string& version) {
+  placement_ask out = make_ask(id);
+  out.turn = placement_class::under_way;
+  out.software_version = version;
+  return out;
+}
+
+std::map<std::uint64_t, placement_grant> grants_of(engine_scheduler& scheduler,
+                                                   time_point now) {
+  std::map<std::uint64_t, placement_grant> out;
+  for (const placement_decision& each : scheduler.decide(now)) {
+    out[each.grant.id] = each.grant;
+  }
+  return out;
+}
+
+void end_request(engine_scheduler& scheduler, std::uint64_t id) {
+  placement_release ended;
+  ended.id = id;
+  scheduler.release("g1", ended);
+}
+
+// Fills the decode engine d0 of version v1, with d1 of version v2 excluded.
+void fill_first_engine(engine_scheduler& scheduler) {
+  for (std::uint64_t id = 101; id <= 108; ++id) {
+    placement_ask ask = make_ask(id);
+    ask.excluded = {"d1"};
+    scheduler.ask("g1", ask, start);
+  }
+  for (const auto& [id, grant] : grants_of(scheduler, start)) {
+    if (grant.outcome != placement_outcome::placed) {
+      end_request(scheduler, id);
+    }
+  }
+}
+
+// Ends generations that fill_first_engine() placed.
+void free_first_engine(engine_scheduler& scheduler, std::uint64_t count) {
+  for (std::uint64_t id = 101; id <= 100 + count; ++id) {
+    end_request(scheduler, id);
+  }
+}
+
 }  // namespace
 
 // Load: 20 decode engines hold about 170 answers of 3 s each, which is about 55
@@ -658,4 +727,121 @@
   BOOST_TEST(single_grant(later).prefill.id == "p0");
 }
 
+BOOST_AUTO_TEST_CASE(stream_goes_on_at_a_decode_engine_of_its_version) {
+  engine_scheduler scheduler =
+      make_versioned_scheduler({"v1"}, {"v1", "v2", "v3", "v1"});
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    scheduler.ask("g1", make_resumed(id, "v2"), start);
+    const placement_grant grant = single_grant(scheduler.decide(start));
+    BOOST_TEST((grant.outcome == placement_outcome::placed));
+    BOOST_TEST(grant.decode.id == "d1");
+    BOOST_TEST(grant.decode.software_version == "v2");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(prompt_of_a_stream_is_prefilled_at_any_version) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  scheduler.ask("g1", make_resumed(1, "v2"), start);
+  const placement_grant grant = single_grant(scheduler.decide(start));
+  BOOST_TEST(grant.prefill.id == "p0");
+  BOOST_TEST(grant.prefill.software_version == "v1");
+  BOOST_TEST(grant.decode.id == "d1");
+}
+
+BOOST_AUTO_TEST_CASE(request_without_a_version_goes_to_any) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  std::set<std::string> used;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    scheduler.ask("g1", make_ask(id), start);
+    const placement_grant grant = single_grant(scheduler.decide(start));
+    used.insert(grant.decode.software_version);
+  }
+  BOOST_TEST(used.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(stream_without_an_engine_of_its_version_is_told_at_once) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  scheduler.ask("g1", make_resumed(1, "v3"), start);
+  BOOST_TEST((single_grant(scheduler.decide(start)).outcome ==
+              placement_outcome::not_leading));
+  BOOST_TEST(!scheduler.has_waiting());
+  // Nor may it be sent to one that it tried.
+  placement_ask tried = make_resumed(2, "v2");
+  tried.excluded = {"d1"};
+  scheduler.ask("g1", tried, start);
+  BOOST_TEST((single_grant(scheduler.decide(start)).outcome ==
+              placement_outcome::not_leading));
+  BOOST_TEST(!scheduler.has_waiting());
+}
+
+// Load: the only engine of a version is full, and streams of that version are
+// resumed.
+BOOST_AUTO_TEST_CASE(stream_that_waits_does_not_delay_those_of_other_versions) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  fill_first_engine(scheduler);
+  scheduler.ask("g1", make_resumed(1, "v1"), start);
+  scheduler.ask("g1", make_resumed(2, "v2"), start);
+  scheduler.ask("g1", make_ask(3), start);
+  auto grants = grants_of(scheduler, start);
+  BOOST_TEST((grants[1].outcome == placement_outcome::queued));
+  BOOST_TEST((grants[2].outcome == placement_outcome::placed));
+  BOOST_TEST(grants[2].decode.id == "d1");
+  BOOST_TEST((grants[3].outcome == placement_outcome::placed));
+  BOOST_TEST(grants[3].decode.id == "d1");
+}
+
+BOOST_AUTO_TEST_CASE(new_requests_do_not_take_memory_that_a_stream_waits_for) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  fill_first_engine(scheduler);
+  placement_ask large = make_resumed(1, "v1");
+  large.prompt_tokens = 12000;
+  scheduler.ask("g1", large, start);
+  BOOST_TEST((single_grant(scheduler.decide(start)).outcome ==
+              placement_outcome::queued));
+  // There is memory for new requests, but not for the stream.
+  free_first_engine(scheduler, 1);
+  placement_ask fresh = make_ask(2, 1000, 100);
+  fresh.excluded = {"d1"};
+  scheduler.ask("g1", fresh, start);
+  auto grants = grants_of(scheduler, start);
+  BOOST_TEST(grants.count(1) == 0U);
+  BOOST_TEST((grants[2].outcome != placement_outcome::placed));
+  free_first_engine(scheduler, 4);
+  grants = grants_of(scheduler, start + milliseconds(10));
+  BOOST_TEST((grants[1].outcome == placement_outcome::placed));
+  BOOST_TEST(grants[1].decode.id == "d0");
+}
+
+BOOST_AUTO_TEST_CASE(streams_of_one_version_are_served_in_order) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  fill_first_engine(scheduler);
+  placement_ask large = make_resumed(1, "v1");
+  large.prompt_tokens = 12000;
+  scheduler.ask("g1", large, start);
+  scheduler.ask("g1", make_resumed(2, "v1"), start);
+  scheduler.decide(start);
+  free_first_engine(scheduler, 1);
+  BOOST_TEST(grants_of(scheduler, start).empty());
+  free_first_engine(scheduler, 4);
+  const auto grants = grants_of(scheduler, start);
+  BOOST_TEST(grants.count(1) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(engines_are_free_again_once_the_stream_stops_waiting) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
+  fill_first_engine(scheduler);
+  placement_ask large = make_resumed(1, "v1");
+  large.prompt_tokens = 12000;
+  scheduler.ask("g1", large, start);
+  scheduler.decide(start);
+  free_first_engine(scheduler, 1);
+  end_request(scheduler, 1);
+  placement_ask fresh = make_ask(2, 1000, 100);
+  fresh.excluded = {"d1"};
+  scheduler.ask("g1", fresh, start);
+  const placement_grant grant = single_grant(scheduler.decide(start));
+  BOOST_TEST((grant.outcome == placement_outcome::placed));
+  BOOST_TEST(grant.decode.id == "d0");
+}
+
 }  // namespace citronwharf
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -487,7 +487,14 @@
 namespace {
 
 listed_server engine(const std::string& id, engine_stage stage) {
-  return {id, "models", "10.0.0.1:80", "z1", 128, false, stage};
+  return {id, "models", "10.0.0.1:80", "z1", 128, false, stage, "v1"};
+}
+
+listed_server versioned_engine(const std::string& id,
+                               const std::string& version) {
+  listed_server out = engine(id, engine_stage::decode);
+  out.software_version = version;
+  return out;
 }
 
 server_criteria criteria_for(engine_stage stage) {
@@ -531,6 +538,87 @@
           ->server.id == "d2");
 }
 
+BOOST_AUTO_TEST_CASE(stream_that_goes_on_gets_a_server_of_its_version) {
+  server_list servers({}, 1);
+  servers.replace({versioned_engine("d1", "v1"), versioned_engine("d2", "v2"),
+                   versioned_engine("d3", "v2")},
+                  start);
+  server_criteria criteria = criteria_for(engine_stage::decode);
+  criteria.software_version = "v1";
+  for (int sent = 0; sent < 5; ++sent) {
+    const auto chosen = servers.choose(criteria, start);
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(chosen->server.id == "d1");
+    BOOST_TEST(chosen->server.software_version == "v1");
+    servers.started("d1", 5000, start);
+  }
+  criteria.excluded = {"d1"};
+  BOOST_TEST(!servers.choose(criteria, start).has_value());
+  criteria.excluded.clear();
+  criteria.software_version = "v3";
+  BOOST_TEST(!servers.choose(criteria, start).has_value());
+  BOOST_TEST(servers.software_version("d2").value() == "v2");
+  BOOST_TEST(!servers.software_version("d4").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(server_that_starts_anew_has_its_new_version) {
+  server_list servers({}, 1);
+  servers.replace({versioned_engine("d1", "v1")}, start);
+  BOOST_TEST(servers.replace({versioned_engine("d1", "v2")}, start));
+  server_criteria criteria = criteria_for(engine_stage::decode);
+  criteria.software_version = "v1";
+  BOOST_TEST(!servers.choose(criteria, start).has_value());
+  criteria.software_version = "v2";
+  BOOST_TEST(servers.choose(criteria, start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_server_takes_streams_of_its_version_for_a_while) {
+  const server_list_options options;
+  const listed_server leaving = versioned_engine("d1", "v1");
+  listed_server listed_as_leaving = leaving;
+  listed_as_leaving.leaving = true;
+  server_criteria any = criteria_for(engine_stage::decode);
+  server_criteria resumed = any;
+  resumed.software_version = "v1";
+  for (const bool announced : {true, false}) {
+    BOOST_TEST_CONTEXT((announced ? "announced" : "listed")) {
+      server_list servers({}, 1);
+      servers.replace({leaving, versioned_engine("d2", "v1")}, start);
+      if (announced) {
+        BOOST_TEST(servers.leaves("d1", start));
+      } else {
+        servers.replace({listed_as_leaving, versioned_engine("d2", "v1")},
+                        start);
+      }
+      const time_point before =
+          start + options.resume_at_leaving - milliseconds(1);
+      const time_point after = start + options.resume_at_leaving;
+      // After the others.
+      servers.started("d2", 5000, start);
+      BOOST_TEST(servers.choose(resumed, start)->server.id == "d2");
+      BOOST_TEST(servers.choose(any, start)->server.id == "d2");
+      any.excluded = resumed.excluded = {"d2"};
+      BOOST_TEST(servers.choose(resumed, start)->server.id == "d1");
+      BOOST_TEST(servers.choose(resumed, before)->server.id == "d1");
+      BOOST_TEST(!servers.choose(resumed, after).has_value());
+      for (const time_point now : {start, before, after}) {
+        BOOST_TEST(!servers.choose(any, now).has_value());
+      }
+      // Neither a repeated announcement nor the list makes it longer.
+      if (announced) {
+        servers.replace({leaving, versioned_engine("d2", "v1")}, before);
+      }
+      servers.leaves("d1", before);
+      servers.replace({listed_as_leaving, versioned_engine("d2", "v1")},
+                      before);
+      BOOST_TEST(servers.choose(resumed, before)->server.id == "d1");
+      BOOST_TEST(!servers.choose(resumed, after).has_value());
+      any.excluded.clear();
+      resumed.excluded.clear();
+    }
+  }
+}
+
 // The directory may still list a server as ready after the server announced its
 // shutdown. It counts as ready again only after the directory has listed it as
 // leaving and then as ready, which means that it has restarted under the same
