--- a/src/control/document_cluster.cc
+++ b/src/control/document_cluster.cc
@@ -88,10 +88,15 @@
   replica_.reset();
   member_change_pending_ = false;
   machine_.restore(published_document{});
+  replica::machines machines{{document_machine::kind, &machine_}};
+  for (const auto& [kind, added] : added_machines_) {
+    added.machine->restore(added.empty);
+    machines[kind] = added.machine;
+  }
   auto new_replica =
       make_replica(replica_environment{process_.loop, process_.options,
                                        process_.peers, disk_},
-                   {{document_machine::kind, &machine_}});
+                   std::move(machines));
   absl::Status opened = new_replica->open();
   if (!opened.ok()) {
     return opened;
@@ -143,7 +148,7 @@
     if (!*alive) {
       return;
     }
-    propose(
+    propose_document(
         in.version, in.text,
         [this, to = from, id = in.id](const absl::Status& done) {
           const publish_reply out{id, done.ok(), std::string(done.message())};
@@ -268,8 +273,23 @@
   }
 }
 
-void document_cluster::propose(std::uint64_t version, std::string text,
-                               publish_callback done) {
+void document_cluster::add_machine(const std::string& kind,
+                                   state_machine& machine,
+                                   nlohmann::json empty) {
+  added_machines_[kind] = {&machine, std::move(empty)};
+}
+
+void document_cluster::propose(nlohmann::json command,
+                               replica::proposal_done done) {
+  if (leads()) {
+    replica_->propose(std::move(command), std::move(done));
+  } else {
+    done(absl::UnavailableError("not the leader"));
+  }
+}
+
+void document_cluster::propose_document(std::uint64_t version, std::string text,
+                                        publish_callback done) {
   if (!leads()) {
     done(absl::UnavailableError("not the leader"));
     return;
@@ -289,7 +309,7 @@
 void document_cluster::publish(std::uint64_t version, std::string text,
                                publish_callback done) {
   if (leads()) {
-    propose(version, std::move(text), std::move(done));
+    propose_document(version, std::move(text), std::move(done));
     return;
   }
   const std::string leader = follower_->leader();
--- a/src/control/document_cluster.h
+++ b/src/control/document_cluster.h
@@ -34,6 +34,11 @@
   document_cluster(const document_cluster&) = delete;
   document_cluster& operator=(const document_cluster&) = delete;
 
+  /// Adds a state machine to the replica. `empty` is its state before the first
+  /// command. Preconditions: start() was not called; the machine outlives this.
+  void add_machine(const std::string& kind, state_machine& machine,
+                   nlohmann::json empty);
+
   /// Starts polling, and opens the replica if the settings name a data folder.
   /// Retries opening until it succeeds if the disk fails.
   void start();
@@ -65,8 +70,18 @@
   /// this document, or one with a higher version, is committed and synced by a
   /// majority; Unavailable if the outcome is not known.
   void publish(std::uint64_t version, std::string text, publish_callback done);
+  /// Proposes a command of an added machine. `done` gets its result, or an
+  /// error if this process does not lead or the outcome is not known. Unlike a
+  /// document, the command may be committed by a group that has lost a member
+  /// or is still being formed.
+  void propose(nlohmann::json command, replica::proposal_done done);
 
  private:
+  struct added_machine {
+    state_machine* machine = nullptr;
+    nlohmann::json empty;
+  };
+
   struct pending_publish {
     time_point deadline;
     publish_callback done;
@@ -74,7 +89,8 @@
 
   void set_handlers();
   void handle_poll(const peer_id& from, const document_poll& in);
-  void propose(std::uint64_t version, std::string text, publish_callback done);
+  void propose_document(std::uint64_t version, std::string text,
+                        publish_callback done);
   void push_document();
   absl::Status open_replica();
   void reopen_failed_replica(time_point now);
@@ -87,6 +103,7 @@
   disk_operations disk_;
   runtime_timer timer_;
   document_machine machine_;
+  std::map<std::string, added_machine> added_machines_;  // by kind
   std::unique_ptr<replica> replica_;  // null unless it was opened
   std::unique_ptr<document_follower> follower_;
   group_manager group_manager_;
