Go on with a stream only at the software version that began it

Nothing knew a server's version: a broken or silent attempt went on at any engine, and so did a stream that its caller resumed.

An attempt of a stream that has begun now asks for an engine of its version and is checked against both lists before each send. The first events are held until the version is stored, which happens while the prompt is read, so that whoever serves the caller's next try can look it up. If no server of the version is left, or nobody knows it, the caller gets a broken stream or 502 at once.

--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -24,6 +24,7 @@
 #include "gateway/server_end_check.h"
 #include "gateway/server_limits.h"
 #include "gateway/server_list.h"
+#include "gateway/stream_versions.h"
 #include "net/http_pool.h"
 #include "net/http_server.h"
 #include "observe/metrics.h"
@@ -107,6 +108,7 @@
   server_end_check& end_check;
   keyed_hash hash;  ///< of identities of requests
   server_limits& limits;
+  stream_versions& versions;
   /// Takes requests of the limit that a server named, shared by all gateways.
   /// They may be waited for up to `max_wait`. Calls `done` once, possibly
   /// before returning; `wait` is the time until the server takes more if they
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -90,6 +90,7 @@
                     }}),
         health_(
             process, cluster_, [this] { return servers_.all(); }, limits_),
+        versions_(process, cluster_),
         stages_(process, cluster_, codec_, pool_, servers_, placement_, limits_,
                 [this] { return engine_profiles(); }),
         routing_table_(
@@ -126,6 +127,7 @@
                    return peers.make_mac(text);
                  },
                  limits_,
+                 versions_,
                  [this](const std::string& server, double requests,
                         duration max_wait,
                         std::function<void(bool, duration)> done) {
@@ -201,6 +203,7 @@
   directory_sync directory_;
   placement_client placement_;
   health_sync health_;
+  stream_versions versions_;
   stage_controller stages_;
   std::shared_ptr<const routing_table> routing_table_;
   std::map<std::string, memory_queue> memory_queues_;
@@ -293,8 +296,10 @@
       log_event(events::directory_read, servers_.size(), servers_.leaving());
     }
     placement_.set_engines(servers_.all());
+    versions_.set_servers(listed);
   });
   placement_.start();
+  versions_.start();
   health_.start(
       [this](const outlier_notice& in) { on_outlier(in); },
       [this](const std::string& server) { return on_server_leaving(server); });
--- a/src/gateway/request_identity.cc
+++ b/src/gateway/request_identity.cc
@@ -1,5 +1,8 @@
 #include "gateway/request_identity.h"
 
+#include <absl/strings/numbers.h>
+#include <glog/logging.h>
+
 namespace citronwharf {
 namespace {
 
@@ -30,4 +33,15 @@
   return id.rfind(marker, 0) == 0;
 }
 
+std::uint64_t hash_stream(const keyed_hash& hash,
+                          const std::string& organisation,
+                          const std::string& attempt) {
+  constexpr std::size_t digits = 16;  // of 64 bits
+  std::uint64_t out = 0;
+  const bool read = absl::SimpleHexAtoi(
+      hash("stream\n" + organisation + "\n" + attempt).substr(0, digits), &out);
+  CHECK(read);
+  return out;
+}
+
 }  // namespace citronwharf
--- a/src/gateway/request_identity.h
+++ b/src/gateway/request_identity.h
@@ -3,6 +3,7 @@
 #ifndef CITRONWHARF_GATEWAY_REQUEST_IDENTITY_H_
 #define CITRONWHARF_GATEWAY_REQUEST_IDENTITY_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -29,6 +30,12 @@
 /// Returns whether `id` is an identity of a request or the prefix of one.
 bool is_request_identity(const std::string& id);
 
+/// Returns the hash of a stream, from the id of the caller's attempt that began
+/// it: the same in all processes of the deployment, and after restarts.
+std::uint64_t hash_stream(const keyed_hash& hash,
+                          const std::string& organisation,
+                          const std::string& attempt);
+
 }  // namespace citronwharf
 
 #endif  // CITRONWHARF_GATEWAY_REQUEST_IDENTITY_H_
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -10,6 +10,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/forward.h"
 #include "gateway/serving_time.h"
+#include "observe/event.h"
 
 namespace citronwharf {
 namespace {
@@ -42,6 +43,12 @@
 // answer that has exceeded its estimate.
 constexpr std::int64_t exceeded_output_divisor = 4;
 constexpr duration hold_margin = milliseconds(50);
+// How long a resumed stream waits until the version at which it began is known.
+// Callers wait at least two seconds for the first event.
+constexpr duration max_version_wait = milliseconds(1900);
+// Covers the time from the sending of a request to its receipt, and clocks that
+// run at different speeds.
+constexpr duration resume_margin = seconds(10);
 // Covers the transit of the first event from the engine to the caller, and the
 // memory reservation before it.
 constexpr duration first_event_margin = milliseconds(80);
@@ -113,12 +120,155 @@
   }
 
   void begin() override {
+    if (resumes()) {
+      find_version();
+      return;
+    }
     const duration objective = milliseconds(route().objective_ms);
     search(placement_class::fresh,
            request().received + objective - first_event_margin);
   }
 
+  // Returns whether the caller resumes a stream that an earlier attempt began.
+  bool resumes() const {
+    const caller_request& caller = request().caller;
+    return may_be_resumed() &&
+           (caller.last_event.has_value() || !caller.resumes.empty());
+  }
+
+  bool may_be_resumed() const {
+    return route().repeat != repeatability::at_most_once;
+  }
+
+  std::uint64_t hash_of(const std::string& attempt) {
+    return hash_stream(context().hash, request().resolved.organisation(),
+                       attempt);
+  }
+
+  void find_version() {
+    const std::string& began_as = request().caller.resumes;
+    add_to_trail("resumes");
+    start_timer(silence_timer_, max_version_wait, [this] {
+      add_to_trail("version_not_found_in_time");
+      refuse_not_run("version_not_found_in_time", std::nullopt);
+    });
+    version_request_ = context().versions.find(
+        {hash_of(began_as), !began_as.empty(), service().name},
+        [this](const std::string& version) { on_version(version); });
+  }
+
+  void on_version(const std::string& version) {
+    version_request_.reset();
+    stop_silence_timer();
+    add_to_trail(fmt::format("began_at({})", version));
+    if (version.empty()) {
+      end_resumed("stream_version_unknown");
+      return;
+    }
+    version_ = version;
+    version_stored_ = true;
+    const duration objective = milliseconds(route().objective_ms);
+    search(placement_class::under_way,
+           std::max(request().received + objective,
+                    runtime_clock::now() + max_resume_wait));
+  }
+
+  // Ends a resumed stream that can't go on, now or later, and has not run. A
+  // refusal would let the caller come back.
+  void end_resumed(const char* reason) {
+    refund_allowance(context(), request());
+    fail_unknown(status_bad_gateway, reason);
+  }
+
+  // Returns the software version that the stream must go on at, or "".
+  std::string required_version() const {
+    return stream_started_ || resumes() ? version_ : "";
+  }
+
+  // Checked before each call that goes on with the stream. The lists of this
+  // gateway and of the leader may differ.
+  bool has_required_version(const listed_server& server) {
+    const std::string required = required_version();
+    const auto known = context().servers.software_version(server.id);
+    if (required.empty() || (server.software_version == required &&
+                             known.value_or(required) == required)) {
+      return true;
+    }
+    add_to_trail(fmt::format("other_version({},{})", server.id,
+                             known.value_or(server.software_version)));
+    log_event(events::other_version_prevented, request().caller.id, required,
+              server.id);
+    tried_servers_.insert(server.id);
+    return false;
+  }
+
+  // Events are held until a majority of the replicas has stored the version at
+  // which the stream begins, so that it is known when the caller resumes the
+  // stream, at any process and after restarts of all.
+  void store_version(const std::string& version) {
+    if (!may_be_resumed() || required_version() == version) {
+      version_stored_ = true;
+      return;
+    }
+    drop_held_events();
+    version_ = version;
+    version_stored_ = false;
+    stream_version record;
+    record.stream = hash_of(request().caller.id);
+    record.request = request_number_;
+    record.number = ++stored_versions_;
+    record.service = service().name;
+    record.version = version;
+    record.lifetime_ms =
+        std::chrono::duration_cast<milliseconds>(resumable_time()).count();
+    version_request_ = context().versions.store(std::move(record), [this] {
+      version_request_.reset();
+      version_stored_ = true;
+      relay_held_events();
+    });
+  }
+
+  // How long the caller may resume the stream.
+  duration resumable_time() const {
+    const auto& deadline = request().caller.deadline;
+    return deadline ? std::min<duration>(*deadline + resume_margin,
+                                         max_resumable_time)
+                    : max_resumable_time;
+  }
+
+  void cancel_version_request() {
+    if (version_request_) {
+      context().versions.cancel(*std::exchange(version_request_, std::nullopt));
+    }
+  }
+
+  // An attempt of which the caller got nothing leaves the request free to run
+  // at any version.
+  void drop_held_events() {
+    cancel_version_request();
+    held_events_.clear();
+    held_bytes_ = 0;
+    response_held_ = false;
+  }
+
+  void relay_held_events() {
+    if (!held_events_.empty()) {
+      add_to_trail("version_stored");
+    }
+    held_bytes_ = 0;
+    memory_.resize(splitter_.buffered_bytes());
+    for (const stream_event& event : std::exchange(held_events_, {})) {
+      if (!relay_event(event)) {
+        return;
+      }
+    }
+    if (std::exchange(response_held_, false)) {
+      on_response_end();
+    }
+  }
+
   void stop() override {
+    cancel_version_request();
     end_call(call_, server_result::abandoned);
     cancel_replacement();
     search_->cancel();
@@ -153,6 +303,7 @@
                                   runtime_clock::now());
     need.ask.gap_us = to_microseconds(milliseconds(route().gap_objective_ms));
     need.ask.excluded = tried_servers_;
+    need.ask.software_version = required_version();
     need.until = std::min(until, request().deadline);
     return need;
   }
@@ -219,6 +370,11 @@
       send_replacement(found);
       return;
     }
+    if (!has_required_version(found.decode)) {
+      search(placement_class::under_way,
+             runtime_clock::now() + max_resume_wait);
+      return;
+    }
     if (!check_attempt(found.decode.id)) {
       end_prevented_attempt();
       return;
@@ -368,11 +524,17 @@
       search_again(server);
       return;
     }
+    if (!has_required_version(server)) {
+      search(placement_class::under_way,
+             runtime_clock::now() + max_resume_wait);
+      return;
+    }
     if (!begin_attempt(server.id)) {
       end_prevented_attempt();
       return;
     }
     reset_response();
+    store_version(server.software_version);
     server_call call;
     if (!export_.handle.empty()) {
       call.kv_source =
@@ -514,9 +676,10 @@
   void send_replacement(const found_engines& found) {
     const listed_server& server = found.decode;
     const bool quarantined = find_quarantine(context(), request()).has_value();
-    const auto retry = quarantined || !may_send(server)
-                           ? std::optional<time_point>()
-                           : take_retry();
+    const auto retry =
+        quarantined || !may_send(server) || !has_required_version(server)
+            ? std::optional<time_point>()
+            : take_retry();
     if (!retry) {
       replacement_search_->cancel();
       wait_for_silent_engine();
@@ -627,6 +790,15 @@
     replacement_search_->cancel();
   }
 
+  // A replacement that was sought before the first event may be of any version.
+  void cancel_replacement_of_other_version() {
+    if (replacing_ && (replacement_call_.server.empty() ||
+                       replacement_.decode.software_version != version_)) {
+      cancel_replacement();
+      wait_for_silent_engine();
+    }
+  }
+
   // Makes the search for a replacement the one that serves the stream.
   void adopt_replacement_search() {
     replacing_ = false;
@@ -643,6 +815,7 @@
     memory_held_ = call_.memory_held;
     adopt_attempt(call_.server);
     reset_response();
+    store_version(engines_.decode.software_version);
     start_silence_timer(stream_started_ ? resume_timeout : first_event_timeout);
     if (replacement_head_) {
       // The start of an error response.
@@ -687,7 +860,10 @@
     const auto events = splitter_.feed(part);
     bool goes_on = false;
     for (const stream_event& event : events) {
-      if (!relay_event(event)) {
+      if (!version_stored_) {
+        held_bytes_ += sizeof(event) + event.bytes.size();
+        held_events_.push_back(event);
+      } else if (!relay_event(event)) {
         return;
       }
       goes_on = goes_on || !event.is_comment;
@@ -702,7 +878,7 @@
       abort_stream("comments without end");
       return;
     }
-    if (!memory_.resize(splitter_.buffered_bytes())) {
+    if (!memory_.resize(splitter_.buffered_bytes() + held_bytes_)) {
       abort_stream("no_memory_for_response");
       return;
     }
@@ -761,6 +937,7 @@
     if (!stream_started_) {
       stream_started_ = true;
       add_to_trail("first_event");
+      cancel_replacement_of_other_version();
       request().exchange->start_stream(context().codec.make_answer(head_));
     }
     request().exchange->write(event.bytes);
@@ -810,6 +987,10 @@
   void on_response_end() {
     stop_silence_timer();
     if (response_started_) {
+      if (!held_events_.empty()) {
+        response_held_ = true;
+        return;
+      }
       if (!is_stream_complete()) {
         add_to_trail(events_from_engine_ == 0 ? "ended_without_event"
                                               : "ended_in_event");
@@ -849,6 +1030,7 @@
   // Ends an attempt at a decode engine that did not complete the stream.
   void finish_attempt(server_result result) {
     stop_silence_timer();
+    drop_held_events();
     end_call(call_, result);
     end_attempt(report_);
     if (report_.sent && !report_.not_run) {
@@ -946,6 +1128,12 @@
         break;
       }
       case attempt_decision::refuse_not_run:
+        if (resumes() &&
+            !context().servers.has_version(service().name, version_)) {
+          // The stream can't go on later either.
+          end_resumed("software_version_left");
+          break;
+        }
         refuse_not_run(attempts_ > 0 ? "servers_refused" : refusal_reason_,
                        retry_after_);
         break;
@@ -971,6 +1159,15 @@
   }
 
   runtime_timer silence_timer_;
+  // Of the engine that began the stream; "" before an engine was chosen.
+  std::string version_;
+  bool version_stored_ = false;  // or known to all without that
+  std::int64_t stored_versions_ = 0;
+  std::uint64_t request_number_ = context().random();
+  std::optional<std::uint64_t> version_request_;
+  std::vector<stream_event> held_events_;  // until the version is stored
+  std::size_t held_bytes_ = 0;
+  bool response_held_ = false;  // it ends with the held events
   // Its lease is that of the engine in use.
   std::unique_ptr<engine_search> search_;
   std::unique_ptr<engine_search> replacement_search_;
