Send all attempts of a stream on a split route to one service

A route may be split over services by weight. Each attempt drew its service anew, so that a stream could be resumed at another service than the one that began it. The draw is now seeded by the attempt that began the stream: the same at any process, and after restarts, as long as the weights stay.

Found by reading; no test shows it before.

--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -174,12 +174,13 @@
   bool can_end_in_time(const admitted_request& request) const;
   time_point latest_start(const admitted_request& request) const;
   void refuse_while_draining(admitted_request& request);
-  resolution resolve(const filter_result& found);
+  resolution resolve(const filter_result& found, const caller_request& caller);
   void refuse(admitted_request& request, const filter_refusal& refusal);
   bool refuse_quarantined(admitted_request& request);
   void filter_again(const std::shared_ptr<admitted_request>& held);
   void start_forward(admitted_request request);
-  std::string choose_service(const gateway_route& route);
+  std::string choose_service(const gateway_route& route,
+                             const caller_request& caller);
   account_limit limit_of(const std::string& account) const;
   bool has_requests(const std::string& engine, double requests);
   void take_requests_as_leader(const std::string& engine, double requests);
@@ -420,7 +421,7 @@
     startup_queue_.hold(std::move(request));
     return;
   }
-  request.resolved = resolve(found);
+  request.resolved = resolve(found, request.caller);
   if (found.refusal) {
     refuse(request, *found.refusal);
     return;
@@ -444,9 +445,10 @@
   request_allowance(std::move(request), *found.organisation);
 }
 
-resolution gateway_role::resolve(const filter_result& found) {
+resolution gateway_role::resolve(const filter_result& found,
+                                 const caller_request& caller) {
   return {routing_table_, found,
-          found.refusal ? "" : choose_service(*found.route)};
+          found.refusal ? "" : choose_service(*found.route, caller)};
 }
 
 void gateway_role::refuse(admitted_request& request,
@@ -544,7 +546,7 @@
                                  found.organisation != nullptr &&
                                  found.organisation->name == granted_to;
   if (same_organisation) {
-    held->resolved = resolve(found);
+    held->resolved = resolve(found, held->caller);
     start_forward(std::move(*held));
     return;
   }
@@ -595,13 +597,23 @@
   });
 }
 
-std::string gateway_role::choose_service(const gateway_route& route) {
+// All attempts to resume a stream choose the service that began it, at any
+// process, as long as the weights stay the same.
+std::string gateway_role::choose_service(const gateway_route& route,
+                                         const caller_request& caller) {
+  if (route.services.size() == 1) {
+    return route.services.front().service;
+  }
   std::int64_t total = 0;
   for (const weighted_service& each : route.services) {
     total += each.weight;
   }
+  const std::string& began_as =
+      caller.resumes.empty() ? caller.id : caller.resumes;
+  std::mt19937_64 random(
+      began_as.empty() ? random_() : hash_stream(context_.hash, "", began_as));
   std::uniform_int_distribution<std::int64_t> draw(0, total - 1);
-  std::int64_t left = draw(random_);
+  std::int64_t left = draw(random);
   for (const weighted_service& each : route.services) {
     left -= each.weight;
     if (left < 0) {
