A stream that waits holds back only the engines that it can use

One that had broken off at an engine of its version also kept that engine from later streams of the version and from new requests, while it waited for another engine.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -108,9 +108,7 @@
   for (auto& [id, each] : engines_) {
     if (!serves_stage(each, ask, engine_stage::decode, now) ||
         now < each.full_until || !usable(each, now) ||
-        ask.excluded.count(id) != 0 ||
-        (ask.software_version.empty() &&
-         state.awaited_versions.count(each.listed.software_version) != 0) ||
+        ask.excluded.count(id) != 0 || state.awaited_engines.count(id) != 0 ||
         !takes_requests(id, requests_per_generation)) {
       continue;
     }
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -459,19 +459,28 @@
 // whether other requests may be placed.
 bool engine_scheduler::place_under_way(service& state, time_point now,
                                        std::vector<placement_decision>& out) {
-  state.awaited_versions.clear();
+  state.awaited_engines.clear();
+  std::set<std::string> awaited_versions;  // all their engines are awaited
   for (auto next = state.under_way.begin(); next != state.under_way.end();) {
     const std::uint64_t number = *next;
-    const std::string version = state.requests.at(number).ask.software_version;
-    if (state.awaited_versions.count(version) != 0) {
+    const placement_ask& ask = state.requests.at(number).ask;
+    if (awaited_versions.count(ask.software_version) != 0) {
       ++next;
     } else if (try_place(state, number, now, out)) {
       next = state.under_way.erase(next);
       state.requests.erase(number);
-    } else if (version.empty()) {
+    } else if (ask.software_version.empty()) {
       return false;
     } else {
-      state.awaited_versions.insert(version);
+      for (const auto& [id, each] : engines_) {
+        if (serves_stage(each, ask, engine_stage::decode, now) &&
+            ask.excluded.count(id) == 0) {
+          state.awaited_engines.insert(id);
+        }
+      }
+      if (ask.excluded.empty()) {
+        awaited_versions.insert(ask.software_version);
+      }
       ++next;
     }
   }
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -202,9 +202,9 @@
     std::int64_t sampled_streams = 0;  // in tokens_per_second
     std::optional<prefill_speed> prefill;
     std::deque<std::uint64_t> under_way;  // request numbers
-    // Software versions that streams under way wait for. Their engines take no
-    // other requests.
-    std::set<std::string> awaited_versions;
+    // Engines of the software versions that streams under way wait for. They
+    // take no request that came later.
+    std::set<std::string> awaited_engines;
     fair_queue fresh;
     fair_queue returned;
     std::map<std::uint64_t, waiting_request> requests;  // by number
--- a/test/engine_scheduler-test.cc
+++ b/test/engine_scheduler-test.cc
@@ -812,6 +812,23 @@
   BOOST_TEST(grants[1].decode.id == "d0");
 }
 
+// Load: a stream broke off at one engine of its version, and the other is full.
+BOOST_AUTO_TEST_CASE(stream_that_waits_delays_nothing_at_engines_it_tried) {
+  engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v1"});
+  fill_first_engine(scheduler);
+  placement_ask broken_off = make_resumed(1, "v1");
+  broken_off.excluded = {"d1"};
+  scheduler.ask("g1", broken_off, start);
+  scheduler.ask("g1", make_resumed(2, "v1"), start);
+  scheduler.ask("g1", make_ask(3), start);
+  auto grants = grants_of(scheduler, start);
+  BOOST_TEST((grants[1].outcome == placement_outcome::queued));
+  for (const std::uint64_t id : {2U, 3U}) {
+    BOOST_TEST((grants[id].outcome == placement_outcome::placed));
+    BOOST_TEST(grants[id].decode.id == "d1");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(streams_of_one_version_are_served_in_order) {
   engine_scheduler scheduler = make_versioned_scheduler({"v1"}, {"v1", "v2"});
   fill_first_engine(scheduler);
