--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -55,10 +55,11 @@
 /// Not thread-safe; use from the event loop thread only.
 ///
 /// A connection is reused only if the last response was read completely, was
-/// followed by no further byte and did not ask to close the connection. A
-/// connection is closed if the server sends anything while it is idle. A call
-/// fails and its connection is closed if the head, the body or the responses to
-/// other calls exceed their limits.
+/// followed by no further byte and did not ask to close the connection, never
+/// for an id that it has carried, and not after 256 ids. A connection is closed
+/// if the server sends anything while it is idle. A call fails and its
+/// connection is closed if the head, the body or the responses to other calls
+/// exceed their limits.
 ///
 /// A faulty server may send a response twice. The second one is mistaken for
 /// the response to the next call on the connection if neither identifies its
--- a/test/gateway-repeated-answer-test.cc
+++ b/test/gateway-repeated-answer-test.cc
@@ -265,6 +265,7 @@
   std::map<std::string, int> executions;  // by request id
   std::string refused_id;
   std::shared_ptr<raw_connection> refused_on;
+  int runs_after_refusal = 0;  // at the server that refused
   raw_server server(loop, [&](const std::string& request,
                               const std::shared_ptr<raw_connection>& caller) {
     const std::string id = raw_header(request, "Citronwharf-Request-Id");
@@ -278,6 +279,7 @@
       return;
     }
     ++executions[id];
+    ++runs_after_refusal;
     caller->write(
         (caller == refused_on ? refusal_of_id : "") +
         raw_reply(headers + "Citronwharf-Server-Stamp: s\r\n", "done " + id));
@@ -314,6 +316,7 @@
     BOOST_TEST(got.body == "done " + id_of(request));
     BOOST_TEST(executions[id_of(request)] == 1);
   }
+  BOOST_TEST(runs_after_refusal == 5);
 }
 
 // The engine that refuses the prefill changes its stage meanwhile; the other
@@ -389,3 +392,64 @@
   BOOST_TEST(got.status == 503);
   BOOST_TEST(executions == 0);
 }
+
+// A list that lags names a server under its earlier id, too. Each request names
+// the server that it expects, so that the first one is refused with 421.
+BOOST_FIXTURE_TEST_CASE(
+    repeated_421_is_not_believed_under_the_new_id_of_a_server,
+    gateway_fixture) {
+  std::map<std::string, int> executions;
+  std::map<std::shared_ptr<raw_connection>, std::string> copies;
+  int misdirections = 0;
+  int arrivals_after = 0;
+  raw_server server(loop, [&](const std::string& request,
+                              const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    const std::string headers = "Citronwharf-Request-Id: " + id + "\r\n";
+    if (raw_header(request, "Citronwharf-Expect-Instance") != "s2") {
+      ++misdirections;
+      copies[caller] = raw_reply(headers, "misdirected", 421);
+      caller->write(copies[caller]);
+      return;
+    }
+    arrivals_after += misdirections > 0 ? 1 : 0;
+    ++executions[id];
+    caller->write(copies[caller]);
+    copies.erase(caller);
+    caller->write(
+        raw_reply(headers + "Citronwharf-Server-Stamp: s\r\n", "done " + id));
+  });
+  raw_server other(loop, [&](const std::string& request,
+                             const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    ++executions[id];
+    caller->write(raw_reply(
+        "Citronwharf-Request-Id: " + id + "\r\nCitronwharf-Server-Stamp: s\r\n",
+        "done " + id));
+  });
+  instances = json::array();
+  for (const char* id : {"s1", "s2"}) {
+    instances.push_back({{"id", id},
+                         {"service", "desk"},
+                         {"addr", server.address()},
+                         {"zone", "z1"},
+                         {"version", "v1"},
+                         {"slots", 8},
+                         {"state", "ready"}});
+  }
+  instances.push_back(instances.front());
+  instances.back()["id"] = "s3";
+  instances.back()["addr"] = other.address();
+  instances.back()["zone"] = "z2";
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_until_ready();
+  wait_until_fleet_is_known();
+  for (int round = 0; round < 10; ++round) {
+    const http_request request = request_to("/c/1");
+    const http_response got = call(callers, request);
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(executions[id_of(request)] == 1);
+  }
+  BOOST_TEST(misdirections > 0);
+  BOOST_TEST(arrivals_after > 0);
+}
--- a/test/http_pool-test.cc
+++ b/test/http_pool-test.cc
@@ -206,6 +206,18 @@
   BOOST_TEST(call(server.address(), match_id("1"), true, "1") == "ok");
 }
 
+// Bounds the memory that the ids take.
+BOOST_FIXTURE_TEST_CASE(connection_is_closed_after_256_ids, fixture) {
+  constexpr int calls = 600;
+  scripted_server server(loop,
+                         std::deque<std::string>(calls, complete_response));
+  for (int number = 0; number < calls; ++number) {
+    BOOST_REQUIRE(call(server.address(), match_id("1"), true,
+                       fmt::format("q{}", number)) == "ok");
+  }
+  BOOST_TEST(server.connections == 3);
+}
+
 BOOST_FIXTURE_TEST_CASE(connection_is_closed_after_unidentified_response,
                         fixture) {
   const std::string unidentified =
