Read no body in the response to HEAD

The response has the length that the body would have, and the call waited for it until its deadline; bytes that came later on the connection were taken for the body.

--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -154,8 +154,9 @@
   bool request_written_ = false;  // the request was written completely
   bool write_failed_ = false;
   bool head_delivered_ = false;
-  bool skipping_ = false;  // the response belongs to another call
-  int skipped_ = 0;        // responses
+  bool skipping_ = false;   // the response belongs to another call
+  int skipped_ = 0;         // responses
+  bool head_only_ = false;  // responses have no body, whatever their length
   bool identified_ = true;
   std::vector<std::size_t> carried_ids_;  // hashes
   bool keep_alive_ = false;
@@ -267,6 +268,7 @@
   call_ = std::move(call);
   handlers_ = std::move(handlers);
   request_bytes_ = serialize(address_, request);
+  head_only_ = request.method == "HEAD";
   if (!call_.id.empty()) {
     carried_ids_.push_back(std::hash<std::string>()(call_.id));
   }
@@ -351,6 +353,7 @@
 void pooled_connection::start_response() {
   parser_.emplace();
   parser_->eager(false);
+  parser_->skip(head_only_);
   // Boost 1.74 treats boost::none as a limit of zero.
   parser_->body_limit(
       call_.max_body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()));
--- a/test/http_pool-test.cc
+++ b/test/http_pool-test.cc
@@ -6,7 +6,9 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <deque>
+#include <optional>
 #include <thread>
 
 #include "net/http_pool.h"
@@ -206,6 +208,26 @@
   BOOST_TEST(call(server.address(), match_id("1"), true, "1") == "ok");
 }
 
+BOOST_FIXTURE_TEST_CASE(response_to_head_has_no_body, fixture) {
+  scripted_server server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+                                complete_response});
+  std::optional<std::string> body;
+  pooled_call options;
+  options.address = server.address();
+  const auto running =
+      pool.fetch(options, {"HEAD", "/", {}, "", ""},
+                 [&](absl::StatusOr<http_response> response, bool) {
+                   body = response.ok() ? response->body : "failed";
+                 });
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  run_until(loop, [&] {
+    return body.has_value() || std::chrono::steady_clock::now() >= end;
+  });
+  BOOST_TEST(body.value_or("no end").empty());
+  BOOST_TEST(call(server.address()) == "ok");
+  BOOST_TEST(server.connections == 1);
+}
+
 // Bounds the memory that the ids take.
 BOOST_FIXTURE_TEST_CASE(connection_is_closed_after_256_ids, fixture) {
   constexpr int calls = 600;
