Take no answer that names a request for that to an order

The leader's calls to an engine before and with an order to switch its stage matched every response. A late copy of a refused prefill, which names its request, was taken for the engine's report, and no order was sent although all gateways had been told of the switch; or an accepted order was logged as refused.

No test of the order itself.

--- a/src/gateway/forward.cc
+++ b/src/gateway/forward.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/call_without_id.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -209,16 +210,8 @@
 
 pooled_call request_forwarder::make_pooled_call(const forward_context& context,
                                                 const std::string& address) {
-  pooled_call out;
-  out.address = address;
+  pooled_call out = make_call_without_id(context.codec, address);
   out.connect_timeout = connect_timeout;
-  // A late second response to an earlier request may arrive on the connection
-  // before the response to this call.
-  out.match = [&codec = context.codec](const http_response& head) {
-    return codec.read_answer(head).request_id.empty()
-               ? response_match::unidentified
-               : response_match::other_call;
-  };
   return out;
 }
 
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "gateway/call_without_id.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -102,8 +103,7 @@
   cluster_.broadcast(stage_notice{order.server, profile.switch_ms,
                                   order.stage == engine_stage::prefill});
   const std::uint64_t id = ++last_order_id_;
-  pooled_call call;
-  call.address = order.address;
+  pooled_call call = make_call_without_id(codec_, order.address);
   call.connect_timeout = order_timeout;
   pending_order& pending = pending_orders_[id];
   pending.order = std::move(order);
@@ -135,8 +135,7 @@
   out.holder = process_.options.process;
   out.fencing_token = leader_term_;
   out.orders = report.orders;
-  pooled_call call;
-  call.address = pending.order.address;
+  pooled_call call = make_call_without_id(codec_, pending.order.address);
   call.connect_timeout = order_timeout;
   pending.call = pool_.fetch(
       call, codec_.make_switch(out),
