Keep no connection after an error that identifies no call

A refused hold names no request, and neither does its copy, which was taken for the answer to the next hold on that connection: the memory that the engine had reserved stayed reserved until it lapsed, and the engine counted as full. Such a connection is closed now; requests did so before. The price is a connection for each refused hold.

--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -158,6 +158,9 @@
   int skipped_ = 0;         // responses
   bool head_only_ = false;  // responses have no body, whatever their length
   bool identified_ = true;
+  // The last response is an error that identifies no call. Its copy would be
+  // taken for the response to the next call.
+  bool refused_unidentified_ = false;
   std::vector<std::size_t> carried_ids_;  // hashes
   bool keep_alive_ = false;
   std::optional<duration> server_idle_timeout_;
@@ -459,6 +462,9 @@
         call_.match ? call_.match(head) : response_match::unidentified;
     skipping_ = match == response_match::other_call;
     identified_ = identified_ && match != response_match::unidentified;
+    constexpr int first_error = 400;
+    refused_unidentified_ =
+        match == response_match::unidentified && head.status >= first_error;
   }
   if (!skipping_ && handlers_.on_head) {
     handlers_.on_head(head);
@@ -475,6 +481,7 @@
   // A server that only gets calls that need an identified connection would
   // never see the connection used again.
   const bool useful = (identified_ || !call_.needs_identified_connection) &&
+                      !refused_unidentified_ &&
                       carried_ids_.size() < max_carried_ids;
   if (keep_alive_ && request_written_ && buffer_.size() == 0 && useful &&
       pool) {
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -56,7 +56,8 @@
 ///
 /// A connection is reused only if the last response was read completely, was
 /// followed by no further byte and did not ask to close the connection, never
-/// for an id that it has carried, and not after 256 ids. A connection is closed
+/// for an id that it has carried, and neither after 256 ids nor after
+/// an error that identified no call. A connection is closed
 /// if the server sends anything while it is idle. A call fails and its
 /// connection is closed if the head, the body or the responses to other calls
 /// exceed their limits.
--- a/test/gateway-repeated-answer-test.cc
+++ b/test/gateway-repeated-answer-test.cc
@@ -453,3 +453,57 @@
   BOOST_TEST(misdirections > 0);
   BOOST_TEST(arrivals_after > 0);
 }
+
+// The copy of a refused hold comes where the answer to the next one is due.
+BOOST_FIXTURE_TEST_CASE(
+    repeated_hold_refusal_keeps_no_memory_from_later_streams, gateway_fixture) {
+  std::map<std::shared_ptr<raw_connection>, std::string> copies;
+  int refusals = 0;
+  int granted = 0;
+  int used = 0;
+  raw_server engine(loop, [&](const std::string& request,
+                              const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    if (request.find("hold-take") != std::string::npos) {
+      if (refusals++ == 0) {
+        caller->write(refusal);
+        copies[caller] = refusal;
+        return;
+      }
+      const std::string copy = copies[caller];
+      copies.erase(caller);
+      ++granted;
+      caller->write(
+          copy + raw_reply("", fmt::format("{{\"hold\":\"m{}\"}}", granted)));
+      return;
+    }
+    if (id.empty()) {
+      caller->write(raw_reply("", "{}"));
+      return;
+    }
+    used += raw_header(request, "Citronwharf-Hold").empty() ? 0 : 1;
+    caller->write(raw_reply("Citronwharf-Request-Id: " + id +
+                                "\r\nCitronwharf-Server-Stamp: s\r\n"
+                                "Content-Type: text/event-stream\r\n",
+                            event(1)));
+  });
+  instances = json::array();
+  instances.push_back({{"id", "e1"},
+                       {"service", "models"},
+                       {"addr", engine.address()},
+                       {"zone", "z1"},
+                       {"version", "v1"},
+                       {"slots", 8},
+                       {"stage", "decode"},
+                       {"state", "ready"}});
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_until_ready();
+  wait_until_fleet_is_known();
+  int served = 0;
+  for (int round = 0; round < 5; ++round) {
+    served += call(callers, prompt_to("/s/1")).status == 200 ? 1 : 0;
+  }
+  BOOST_TEST(refusals > 0);
+  BOOST_TEST(served == 5);
+  BOOST_TEST(granted == used);
+}
