Relay events that are held when their engine breaks off

If an engine broke off before the version of the stream was stored, its events were dropped, and the caller got an error although an engine of the version could go on. The attempt now ends once its events are relayed.

On the code before, stream_that_breaks_off_before_its_version_is_stored_ goes_on failed: streams ended without an event, and 27 runs began for 24 streams.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -249,6 +249,7 @@
     held_events_.clear();
     held_bytes_ = 0;
     response_held_ = false;
+    failure_held_ = false;
   }
 
   void relay_held_events() {
@@ -264,6 +265,8 @@
     }
     if (std::exchange(response_held_, false)) {
       on_response_end();
+    } else if (std::exchange(failure_held_, false)) {
+      finish_attempt(server_result::failed);
     }
   }
 
@@ -620,10 +623,17 @@
                              failure.sent));
     report_.sent = report_.sent || failure.sent;
     if (failure.sent) {
-      record_end(engines_.decode, events_from_engine_);
+      record_end(
+          engines_.decode,
+          events_from_engine_ + static_cast<std::int64_t>(held_events_.size()));
     }
     search_->observe(last_server_, failure.sent ? engine_signal::failed
                                                 : engine_signal::unreachable);
+    if (!held_events_.empty()) {
+      stop_silence_timer();
+      failure_held_ = true;
+      return;
+    }
     finish_attempt(failure.sent ? server_result::failed
                                 : server_result::unreachable);
   }
@@ -1168,6 +1178,7 @@
   std::vector<stream_event> held_events_;  // until the version is stored
   std::size_t held_bytes_ = 0;
   bool response_held_ = false;  // it ends with the held events
+  bool failure_held_ = false;   // it breaks off after them
   // Its lease is that of the engine in use.
   std::unique_ptr<engine_search> search_;
   std::unique_ptr<engine_search> replacement_search_;
--- a/test/gateway-software-version-test.cc
+++ b/test/gateway-software-version-test.cc
@@ -79,6 +79,31 @@
   BOOST_TEST(whole >= streams / 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    stream_that_breaks_off_before_its_version_is_stored_goes_on,
+    version_fixture) {
+  for (const char* version : {"v1", "v1", "v2", "v2", "v3", "v3"}) {
+    versioned_engine& engine = add_engine(version);
+    engine.first_events = 1;
+    engine.break_off_after = std::chrono::milliseconds(3);
+  }
+  prepare();
+  int whole = 0;
+  constexpr int streams = 24;
+  for (int number = 0; number < streams; ++number) {
+    const received_stream got = caller.get(callers, caller.request());
+    BOOST_TEST(got.versions.size() == 1U);
+    whole += got.whole() ? 1 : 0;
+  }
+  // Engines that broke off are avoided for a while.
+  BOOST_TEST(whole >= streams / 2);
+  int begun = 0;
+  for (const versioned_engine& engine : engines) {
+    begun += engine.begun;
+  }
+  BOOST_TEST(begun == streams);
+}
+
 BOOST_FIXTURE_TEST_CASE(silent_engine_is_replaced_by_one_of_its_version,
                         version_fixture) {
   add_silent_engines();
--- a/test/versioned_engines.h
+++ b/test/versioned_engines.h
@@ -82,16 +82,17 @@
   fake_server server;
   int first_events = events_of_stream;  // that a stream begins with
   bool stays_silent = false;            // after them
+  // The gateway has time to read the first event.
+  std::chrono::milliseconds break_off_after{40};
   int begun = 0;
   int resumed = 0;
   std::list<std::unique_ptr<http_exchange>> open_streams;
 
  private:
-  // The gateway has time to read the first event.
   void break_off_soon(
       std::list<std::unique_ptr<http_exchange>>::iterator which) {
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
-    timer->expires_after(std::chrono::milliseconds(40));
+    timer->expires_after(break_off_after);
     timer->async_wait([this, timer, which](boost::system::error_code error) {
       if (!error) {
         open_streams.erase(which);
