--- a/test/soak_engines.h
+++ b/test/soak_engines.h
@@ -53,13 +53,15 @@
     return {{"id", id_},
             {"service", service_},
             {"zone", "z1"},
-            {"version", "v1"},
+            {"version", version()},
             {"addr", server_.address()},
             {"slots", 64},
             {"stage", prefills_ ? "prefill" : "decode"},
             {"state", "ready"}};
   }
   const std::string& id() const { return id_; }
+  /// Engines with odd and even numbers have different software.
+  std::string version() const { return id_.back() % 2 == 0 ? "v2" : "v1"; }
 
   /// Returns whether the fault is now active.
   bool toggle(engine_fault in) {
@@ -194,7 +196,7 @@
     out->request = id;
     out->caller = from;
     out->next_event = last_event.empty() ? 1 : std::stoi(last_event) + 1;
-    out->run = book_.begin_run(id, id_, out->next_event);
+    out->run = book_.begin_run(id, id_, version(), out->next_event);
     out->chunked = random_below(random_, 4) != 0;
     if (affected_by(engine_fault::breaks_streams)) {
       out->breaks_in = 1 + random_below(random_, stream_events);
--- a/test/soak_generations.h
+++ b/test/soak_generations.h
@@ -52,7 +52,8 @@
 
 /// All generations of a run. Checks that each begins to run in one engine at
 /// most unless it may be resumed, that none runs that was refused, that events
-/// come once, in order and from one run, and that each ends in time.
+/// come once, in order, from one run and one software version, and that each
+/// ends in time.
 class generation_book {
  public:
   struct generation {
@@ -127,11 +128,12 @@
 
   /// An engine begins to run a request. Returns the number of the run.
   int begin_run(const std::string& id, const std::string& engine,
-                int first_event) {
+                const std::string& version, int first_event) {
     generation& of = generations_[id];
     ++of.runs;
-    note(id, fmt::format("runs at {} as run {} from event {}", engine,
-                         ++last_run_, first_event));
+    note(id, fmt::format("runs at {} ({}) as run {} from event {}", engine,
+                         version, ++last_run_, first_event));
+    version_of_run_[last_run_] = version;
     check(of, !of.once || of.runs == 1, "TWICE: runs again");
     check(of, !promised_not_run(of), "REFUSED: runs after it was refused");
     return last_run_;
@@ -239,6 +241,7 @@
   void check_events(const generation& in, bool complete) {
     std::istringstream body(in.body);
     std::set<int> runs;
+    std::set<std::string> versions;
     int events = 0;
     std::string id_line;
     std::string data_line;
@@ -251,11 +254,14 @@
       std::string request;
       std::istringstream(data_line) >> prefix >> request >> run;
       runs.insert(run);
+      versions.insert(version_of_run_[run]);
       check(in, id_line == fmt::format("id: {}", events),
             fmt::format("ORDER: '{}' as event {}", id_line, events));
       check(in, request == in.id, "MIXED: has an event of " + request);
     }
     check(in, !in.once || runs.size() <= 1, "ORDER: has events of two runs");
+    check(in, versions.size() <= 1,
+          "ORDER: has events of two software versions");
     check(in, !complete || events == stream_events,
           fmt::format("ORDER: complete after {} events", events));
   }
@@ -267,6 +273,7 @@
   std::set<std::string> failed_;  // ids
   int last_id_ = 0;
   int last_run_ = 0;
+  std::map<int, std::string> version_of_run_;
 };
 
 }  // namespace citronwharf::test
