Test a repeated 421 of a restarted engine's former id

A restarted server is listed under its former id for some seconds, at the same address. It answers 421 to requests for the former id, and the gateway sends the request to the new id: over the same connection before. The copy of the 421 was then taken for the answer of the stream that ran.

The existing test covers plain requests only; streams go another way to the pool.

--- a/test/gateway-repeated-answer-test.cc
+++ b/test/gateway-repeated-answer-test.cc
@@ -319,6 +319,46 @@
   BOOST_TEST(runs_after_refusal == 5);
 }
 
+// As after a restart, while the list still has the engine's former id.
+BOOST_FIXTURE_TEST_CASE(
+    repeated_421_is_not_believed_by_the_stream_that_goes_to_the_new_id,
+    gateway_fixture) {
+  max_hold_ms = 0;
+  int executions = 0;
+  std::string refusal_of_id;
+  std::shared_ptr<raw_connection> refused_on;
+  raw_server engine(loop, [&](const std::string& request,
+                              const std::shared_ptr<raw_connection>& caller) {
+    const std::string id = raw_header(request, "Citronwharf-Request-Id");
+    const std::string headers = "Citronwharf-Request-Id: " + id + "\r\n";
+    if (id.empty()) {
+      caller->write(raw_reply("", "{}"));
+    } else if (refusal_of_id.empty()) {
+      refusal_of_id =
+          raw_reply(headers + "Citronwharf-Not-Run: 1\r\n", "other", 421);
+      refused_on = caller;
+      caller->write(refusal_of_id);
+    } else {
+      ++executions;
+      caller->write(
+          (caller == refused_on ? refusal_of_id : "") +
+          raw_reply(headers + "Citronwharf-Server-Stamp: s\r\n", event(1)));
+    }
+  });
+  instances = json::array();
+  add("e1", "models", "decode", decode);
+  instances[0]["addr"] = engine.address();
+  instances.push_back(instances[0]);
+  instances[1]["id"] = "e2";
+  BOOST_REQUIRE(run_until(loop, [&] { return publish(7).status == 200; }));
+  wait_until_ready();
+  wait_until_fleet_is_known();
+  const http_response got = call(callers, prompt_to("/s/1"));
+  BOOST_TEST(got.status == 200);
+  BOOST_TEST(got.body == event(1));
+  BOOST_TEST(executions == 1);
+}
+
 // The engine that refuses the prefill changes its stage meanwhile; the other
 // engine refuses everything.
 BOOST_FIXTURE_TEST_CASE(
