A stream stored at the base version is no sign of another version

A caller that resumes a stream without naming it goes on at the base version as long as no stream of another version is stored.

--- a/src/control/stream_version_machine.cc
+++ b/src/control/stream_version_machine.cc
@@ -81,11 +81,14 @@
 
 std::string stream_version_machine::find(const resumed_stream& in) const {
   if (!in.identified) {
-    const bool one_version =
-        std::none_of(streams_.begin(), streams_.end(), [&](const auto& each) {
-          return began_at_[each.second.began_at].first == in.service;
+    const std::string out = base(in.service);
+    const bool other_version =
+        std::any_of(streams_.begin(), streams_.end(), [&](const auto& each) {
+          const auto& [service, version] = began_at_[each.second.began_at];
+          return service == in.service &&
+                 (each.second.ambiguous || version != out);
         });
-    return one_version ? base(in.service) : "";
+    return other_version ? "" : out;
   }
   const auto found = streams_.find(in.stream);
   if (found == streams_.end()) {
--- a/test/stream_version_machine-test.cc
+++ b/test/stream_version_machine-test.cc
@@ -172,6 +172,9 @@
   elsewhere.service = "summaries";
   store(elsewhere);
   BOOST_TEST(find(unnamed) == "v1");
+  // Stored after an attempt that brought no event.
+  store(make_record(9, "v1"));
+  BOOST_TEST(find(unnamed) == "v1");
   store(make_record(7, "v2"));
   BOOST_TEST(find(unnamed).empty());
   advance(lifetime_ms);
