Measure an engine by when its events were received

Events that are held until the version of their stream is stored are relayed at once. The span from the first to the last of them was then next to nothing, the engine seemed many times as fast as it is, all others seemed slow and got nothing for 1.5 s each, and their generations seemed to fill the memory.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -80,6 +80,12 @@
   bool memory_held = false;
 };
 
+// An event that is not relayed yet.
+struct held_event {
+  stream_event event;
+  time_point received;
+};
+
 class stream_forwarder final : public request_forwarder {
  public:
   stream_forwarder(forward_context& context, admitted_request request)
@@ -259,8 +265,8 @@
     }
     held_bytes_ = 0;
     memory_.resize(splitter_.buffered_bytes());
-    for (const stream_event& event : std::exchange(held_events_, {})) {
-      if (!relay_event(event)) {
+    for (const held_event& held : std::exchange(held_events_, {})) {
+      if (!relay_event(held.event, held.received)) {
         return;
       }
     }
@@ -872,9 +878,9 @@
     bool goes_on = false;
     for (const stream_event& event : events) {
       if (!version_stored_) {
-        held_bytes_ += sizeof(event) + event.bytes.size();
-        held_events_.push_back(event);
-      } else if (!relay_event(event)) {
+        held_bytes_ += sizeof(held_event) + event.bytes.size();
+        held_events_.push_back({event, runtime_clock::now()});
+      } else if (!relay_event(event, runtime_clock::now())) {
         return;
       }
       goes_on = goes_on || !event.is_comment;
@@ -937,8 +943,9 @@
     return "";
   }
 
-  // Returns whether the stream continues.
-  bool relay_event(const stream_event& event) {
+  // Returns whether the stream continues. The speed of the engine follows from
+  // when its events were received, however long they were held.
+  bool relay_event(const stream_event& event, time_point now) {
     const std::string fault = find_fault(event);
     if (!fault.empty()) {
       add_to_trail(fault);
@@ -955,7 +962,6 @@
     if (event.is_comment) {
       return true;
     }
-    const time_point now = runtime_clock::now();
     if (events_++ == 0) {
       first_event_at_ = now;
     } else {
@@ -1176,7 +1182,7 @@
   std::int64_t stored_versions_ = 0;
   std::uint64_t request_number_ = context().random();
   std::optional<std::uint64_t> version_request_;
-  std::vector<stream_event> held_events_;  // until the version is stored
+  std::vector<held_event> held_events_;  // until the version is stored
   std::size_t held_bytes_ = 0;
   bool response_held_ = false;  // it ends with the held events
   bool failure_held_ = false;   // it breaks off after them
