Let a resumed stream wait for memory as long as its caller

That time is for a stream within one answer, whose caller has waited for events before; the caller of a new attempt waits for two seconds or four objectives at least.

--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -46,6 +46,13 @@
 // How long a resumed stream waits until the version at which it began is known.
 // Callers wait at least two seconds for the first event.
 constexpr duration max_version_wait = milliseconds(1900);
+// Callers give up a stream after this long without an event, or after these
+// multiples of its objectives, whichever is longest.
+constexpr duration min_patience = seconds(2);
+constexpr std::int64_t patience_objectives = 4;
+constexpr std::int64_t patience_gap_objectives = 8;
+// Part of that time in which the engine prefills the prompt and the output.
+constexpr duration resume_read_time = milliseconds(600);
 // Covers the time from the sending of a request to its receipt, and clocks that
 // run at different speeds.
 constexpr duration resume_margin = seconds(10);
@@ -173,10 +180,15 @@
     }
     version_ = version;
     version_stored_ = true;
-    const duration objective = milliseconds(route().objective_ms);
     search(placement_class::under_way,
-           std::max(request().received + objective,
-                    runtime_clock::now() + max_resume_wait));
+           request().received + first_event_patience() - resume_read_time);
+  }
+
+  // How long the caller waits for the first event before it gives up.
+  duration first_event_patience() const {
+    return std::max<duration>(
+        {min_patience, milliseconds(patience_objectives * route().objective_ms),
+         milliseconds(patience_gap_objectives * route().gap_objective_ms)});
   }
 
   // Ends a resumed stream that can't go on, now or later, and has not run. A
--- a/test/gateway-software-version-test.cc
+++ b/test/gateway-software-version-test.cc
@@ -3,6 +3,7 @@
 // when the caller resumes the stream, at any process and after restarts.
 #include <fmt/format.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <list>
@@ -145,6 +146,25 @@
   BOOST_TEST(caller.resume(callers, begun) >= 12);
 }
 
+// The engines of its version have no memory for longer than streams under way
+// wait, but not as long as callers do.
+BOOST_FIXTURE_TEST_CASE(resumed_stream_waits_for_memory_as_long_as_its_caller,
+                        version_fixture) {
+  add_silent_engines();
+  prepare();
+  const auto begun = caller.begin(callers, 1);
+  const auto set_refuses_holds = [&](bool refuses) {
+    for (versioned_engine& engine : engines) {
+      engine.refuses_holds = refuses;
+    }
+  };
+  set_refuses_holds(true);
+  boost::asio::steady_timer timer(loop, std::chrono::milliseconds(1200));
+  timer.async_wait(
+      [&](boost::system::error_code) { set_refuses_holds(false); });
+  BOOST_TEST(caller.resume(callers, begun) == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     stream_resumed_after_a_kill_goes_on_at_the_version_that_began_it,
     version_fixture) {
--- a/test/versioned_engines.h
+++ b/test/versioned_engines.h
@@ -53,6 +53,10 @@
 
   void answer(const http_request& request,
               std::unique_ptr<http_exchange> exchange) {
+    if (refuses_holds && request.target == "/-/hold-take") {
+      exchange->respond(reply(503, "{}", {{"Citronwharf-Not-Run", "1"}}));
+      return;
+    }
     if (gateway_fixture::answer_auxiliary_request(request, *exchange)) {
       return;
     }
@@ -82,6 +86,7 @@
   fake_server server;
   int first_events = events_of_stream;  // that a stream begins with
   bool stays_silent = false;            // after them
+  bool refuses_holds = false;
   // The gateway has time to read the first event.
   std::chrono::milliseconds break_off_after{40};
   int begun = 0;
