--- a/review/6/check.cc
+++ b/review/6/check.cc
@@ -19,9 +19,6 @@
 // RULES.md, LOST: broken if it happens more than three times.
 constexpr int allowed_losses = 3;
 
-std::mutex mutex;
-std::set<std::string> reached_service;  // ids of requests
-
 // Without the disruption the part has the same effect, but an id as the page
 // prescribes.
 std::string deadly_part() {
@@ -30,18 +27,6 @@
                    : "deadbeef";
 }
 
-bool answer_service(const message& request, channel& to) {
-  const std::string id = request.header("citronwharf-request-id");
-  {
-    const std::lock_guard<std::mutex> lock(mutex);
-    reached_service.insert(id);
-  }
-  std::this_thread::sleep_for(work_time);
-  return to.send_all(response(200, "done",
-                              "Citronwharf-Request-Id: " + id +
-                                  "\r\nCitronwharf-Server-Stamp: 1.2.3\r\n"));
-}
-
 bool answer_engine(const std::string& engine, const message& request,
                    channel& to, server& self) {
   if (request.target() == "/-/hold-take") {
@@ -72,77 +57,11 @@
                                   "\r\nCitronwharf-Server-Stamp: 1.2.3\r\n"));
 }
 
-std::string caller_request(const std::string& path, const std::string& id,
-                           const std::string& headers) {
-  return "POST " + path +
-         " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k1\r\n"
-         "Citronwharf-Request-Id: " +
-         id + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
-}
-
-// Sends requests one after the other over a kept channel. Counts those that
-// reached the sound service on a channel that had carried an answer, and that
-// the gateway closed without an answer.
-class caller {
- public:
-  caller(std::string name, std::string host, std::uint16_t port)
-      : name_(std::move(name)), host_(std::move(host)), port_(port) {}
-
-  void run(clock::time_point end, std::atomic<int>& lost) {
-    std::unique_ptr<channel> to;
-    bool kept = false;
-    for (int i = 0; clock::now() < end; ++i) {
-      if (to == nullptr) {
-        to = dial(host_, port_);
-        kept = false;
-        if (to == nullptr) {
-          std::this_thread::sleep_for(milliseconds(100));
-          continue;
-        }
-      }
-      const std::string id = name_ + "-" + std::to_string(i);
-      message got;
-      bool got_bytes = false;
-      const auto sent_at = clock::now();
-      const bool whole =
-          to->send_all(caller_request("/commit/1", id,
-                                      "Citronwharf-Deadline-Ms: 3000\r\n")) &&
-          to->read_message(got, milliseconds(3000), &got_bytes);
-      if (whole) {
-        record("caller " + id + " got " + std::to_string(got.status()));
-        kept = true;
-        if (got.header("connection") == "close") {
-          to = nullptr;
-        }
-        continue;
-      }
-      const bool closed = clock::now() < sent_at + milliseconds(2900);
-      bool reached = false;
-      {
-        const std::lock_guard<std::mutex> lock(mutex);
-        reached = reached_service.count(id) != 0;
-      }
-      record("caller " + id + " got no answer; channel " +
-             (closed ? "closed" : "silent") + (kept ? ", kept" : ", new") +
-             (reached ? ", passed on" : ", not passed on"));
-      if (closed && kept && reached && !got_bytes) {
-        ++lost;
-      }
-      to = nullptr;
-    }
-  }
-
- private:
-  std::string name_;
-  std::string host_;
-  std::uint16_t port_;
-};
-
 int run() {
   temporary_folder folder;
   const gateway::ports at;
   directory list;
-  server service("127.0.0.1", free_port(), answer_service);
+  sound_service service(work_time);
   list.add("i-desk", "desk", service.address(), "", 64);
   std::vector<std::unique_ptr<server>> engine_servers(engines);
   for (int i = 0; i < engines; ++i) {
@@ -182,19 +101,10 @@
   }
   record("all gateways are ready");
   const auto end = clock::now() + test_time;
-  std::atomic<int> lost{0};
-  std::vector<std::thread> threads;
-  std::vector<std::unique_ptr<caller>> callers;
-  for (const std::string& host : hosts) {
-    for (int i = 0; i < callers_per_gateway; ++i) {
-      callers.push_back(std::make_unique<caller>(
-          "c" + std::to_string(callers.size()), host, at.callers));
-      threads.emplace_back(
-          [&, each = callers.back().get()] { each->run(end, lost); });
-    }
-  }
+  kept_callers callers(hosts, at.callers, callers_per_gateway, "/commit/1",
+                       service, end);
   // Requests with the part, no two alike, come at any machine.
-  threads.emplace_back([&] {
+  std::thread deadly([&] {
     for (int i = 0; i < 12 && clock::now() < end; ++i) {
       const std::string id = "p" + std::to_string(i);
       const std::string own = "ab" + std::to_string(100 + i);
@@ -227,9 +137,8 @@
     }
     std::this_thread::sleep_for(milliseconds(20));
   }
-  for (std::thread& each : threads) {
-    each.join();
-  }
+  deadly.join();
+  const int lost = callers.wait();
   record("processes that ended by themselves: " + std::to_string(ends));
   record("requests from kept channels lost: " + std::to_string(lost));
   std::cout << "ended by themselves: " << ends
--- a/review/lib-2/harness.cc
+++ b/review/lib-2/harness.cc
@@ -513,4 +513,99 @@
   return true;
 }
 
+sound_service::sound_service(milliseconds work_time) {
+  server_ = std::make_unique<server>(
+      "127.0.0.1", free_port(),
+      [this, work_time](const message& request, channel& to) {
+        const std::string id = request.header("citronwharf-request-id");
+        {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          requests_.insert(id);
+        }
+        std::this_thread::sleep_for(work_time);
+        return to.send_all(
+            response(200, "done",
+                     "Citronwharf-Request-Id: " + id +
+                         "\r\nCitronwharf-Server-Stamp: 1.2.3\r\n"));
+      });
+}
+
+bool sound_service::reached(const std::string& request) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return requests_.count(request) != 0;
+}
+
+std::string caller_request(const std::string& path, const std::string& id,
+                           const std::string& headers) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k1\r\n"
+         "Citronwharf-Request-Id: " +
+         id + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
+}
+
+kept_callers::kept_callers(const std::vector<std::string>& hosts,
+                           std::uint16_t port, int per_host, std::string path,
+                           sound_service& service, clock::time_point end)
+    : port_(port), path_(std::move(path)), service_(service), end_(end) {
+  for (const std::string& host : hosts) {
+    for (int i = 0; i < per_host; ++i) {
+      const std::string name = "c" + std::to_string(threads_.size());
+      threads_.emplace_back([this, name, host] { run(name, host); });
+    }
+  }
+}
+
+kept_callers::~kept_callers() {
+  wait();
+}
+
+int kept_callers::wait() {
+  for (std::thread& each : threads_) {
+    if (each.joinable()) {
+      each.join();
+    }
+  }
+  return lost_;
+}
+
+void kept_callers::run(const std::string& name, const std::string& host) {
+  constexpr auto deadline = milliseconds(3000);
+  std::unique_ptr<channel> to;
+  bool kept = false;
+  for (int i = 0; clock::now() < end_; ++i) {
+    if (to == nullptr) {
+      to = dial(host, port_);
+      kept = false;
+      if (to == nullptr) {
+        std::this_thread::sleep_for(milliseconds(100));
+        continue;
+      }
+    }
+    const std::string id = name + "-" + std::to_string(i);
+    message got;
+    bool got_bytes = false;
+    const auto sent_at = clock::now();
+    const bool whole = to->send_all(caller_request(
+                           path_, id, "Citronwharf-Deadline-Ms: 3000\r\n")) &&
+                       to->read_message(got, deadline, &got_bytes);
+    if (whole) {
+      record("caller " + id + " got " + std::to_string(got.status()));
+      kept = true;
+      if (got.header("connection") == "close") {
+        to = nullptr;
+      }
+      continue;
+    }
+    const bool closed = clock::now() < sent_at + deadline - milliseconds(100);
+    const bool reached = service_.reached(id);
+    record("caller " + id + " got no answer; channel " +
+           (closed ? "closed" : "silent") + (kept ? ", kept" : ", new") +
+           (reached ? ", passed on" : ", not passed on"));
+    if (closed && kept && reached && !got_bytes) {
+      ++lost_;
+    }
+    to = nullptr;
+  }
+}
+
 }  // namespace review
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -140,6 +140,7 @@
   bool running() { return pid_ > 0; }
   const std::string& host() const { return host_; }
   const std::string& name() const { return name_; }
+  pid_t pid() const { return pid_; }
 
  private:
   std::string name_;
@@ -189,6 +190,49 @@
 bool bring_up(const std::vector<std::unique_ptr<gateway>>& gateways,
               const gateway::ports& at, const std::string& state);
 
+/// A sound service that takes some time for each request.
+class sound_service {
+ public:
+  explicit sound_service(milliseconds work_time);
+  std::string address() const { return server_->address(); }
+  bool reached(const std::string& request);
+
+ private:
+  std::mutex mutex_;
+  std::set<std::string> requests_;
+  std::unique_ptr<server> server_;
+};
+
+/// Returns a request of the tenant's key without a body.
+std::string caller_request(const std::string& path, const std::string& id,
+                           const std::string& headers);
+
+/// Callers that send requests to a path one after the other, each over a kept
+/// channel. Counts those that reached the service on a channel that had carried
+/// an answer, and that the gateway closed without an answer.
+class kept_callers {
+ public:
+  kept_callers(const std::vector<std::string>& hosts, std::uint16_t port,
+               int per_host, std::string path, sound_service& service,
+               clock::time_point end);
+  ~kept_callers();
+  kept_callers(const kept_callers&) = delete;
+  kept_callers& operator=(const kept_callers&) = delete;
+
+  /// Waits until all have ended. Returns the number of lost requests.
+  int wait();
+
+ private:
+  void run(const std::string& name, const std::string& host);
+
+  std::uint16_t port_;
+  std::string path_;
+  sound_service& service_;
+  clock::time_point end_;
+  std::atomic<int> lost_{0};
+  std::vector<std::thread> threads_;
+};
+
 }  // namespace review
 
 #endif  // CITRONWHARF_REVIEW_LIB_2_HARNESS_H_
