Tests: share the clients that misbehave

Clients that send without end or stop short of it, and the figures of a process's memory and descriptors, move to a header, so that further tests can use them. The crowds and bounds of gateway-hostile-clients-test are unchanged.

--- a/test/gateway-hostile-clients-test.cc
+++ b/test/gateway-hostile-clients-test.cc
@@ -5,25 +5,18 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "gateway_fixture.h"
-#include "net/address.h"
+#include "hostile_clients.h"
 
 using namespace citronwharf;        // NOLINT(google-build-using-namespace)
 using namespace citronwharf::test;  // NOLINT(google-build-using-namespace)
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-
 namespace {
 
 // The limits of deploy/settings.json.in.
@@ -59,134 +52,6 @@
 
 const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
 
-// What a client sends: `first`, then `part` again and again up to `bytes`.
-struct client_input {
-  std::string first;
-  std::string part = std::string(16U << 10U, 'x');
-  std::size_t bytes = 0;  // of parts
-  bool reads = true;
-  duration pause{};    // between parts
-  std::string last{};  // after the parts
-  duration stagger{};  // between the starts of two clients
-};
-
-// Sends its input and then stays connected. Ends when the gateway closes.
-// Pending handlers keep it alive.
-class hostile_client : public std::enable_shared_from_this<hostile_client> {
- public:
-  hostile_client(boost::asio::io_context& loop, client_input input)
-      : input_(std::move(input)), socket_(loop), pause_(loop) {}
-  void start(const std::string& address, duration after) {
-    pause_.expires_after(after);
-    pause_.async_wait(
-        [this, self = shared_from_this(), address](error_code error) {
-          if (!error) {
-            connect(address);
-          }
-        });
-  }
-  void connect(const std::string& address) {
-    socket_.async_connect(*parse_address(address),
-                          [this, self = shared_from_this()](error_code error) {
-                            if (error) {
-                              ended_ = true;
-                              return;
-                            }
-                            if (input_.reads) {
-                              read();
-                            }
-                            write(input_.first);
-                          });
-  }
-  void close() {
-    error_code ignored;
-    socket_.close(ignored);
-    pause_.cancel();
-  }
-  bool ended() const { return ended_; }
-  bool all_sent() const { return sent_all_; }
-
- private:
-  void write(const std::string& bytes) {
-    boost::asio::async_write(socket_, boost::asio::buffer(bytes),
-                             [this, self = shared_from_this()](
-                                 error_code error, std::size_t /*size*/) {
-                               if (error) {
-                                 ended_ = true;
-                                 return;
-                               }
-                               write_part();
-                             });
-  }
-  void write_part() {
-    if (input_.bytes == 0) {
-      sent_all_ = input_.last.empty();
-      if (!sent_all_) {
-        input_.first = std::move(input_.last);
-        input_.last.clear();
-        write(input_.first);
-      }
-      return;
-    }
-    if (input_.part.size() > input_.bytes) {
-      input_.part.resize(input_.bytes);
-    }
-    input_.bytes -= input_.part.size();
-    if (input_.pause == duration{}) {
-      write(input_.part);
-      return;
-    }
-    pause_.expires_after(input_.pause);
-    pause_.async_wait([this, self = shared_from_this()](error_code /*error*/) {
-      write(input_.part);
-    });
-  }
-  void read() {
-    socket_.async_read_some(boost::asio::buffer(buffer_),
-                            [this, self = shared_from_this()](
-                                error_code error, std::size_t /*size*/) {
-                              if (error) {
-                                ended_ = true;
-                              } else {
-                                read();
-                              }
-                            });
-  }
-
-  client_input input_;
-  tcp::socket socket_;
-  boost::asio::steady_timer pause_;
-  std::array<char, 4096> buffer_{};
-  bool ended_ = false;
-  bool sent_all_ = false;
-};
-
-// Clients that all send the same. Closes them on destruction.
-class crowd {
- public:
-  crowd(boost::asio::io_context& loop, const std::string& address,
-        std::size_t count, const client_input& input) {
-    for (std::size_t i = 0; i < count; ++i) {
-      clients_.push_back(std::make_shared<hostile_client>(loop, input));
-      clients_.back()->start(address, input.stagger * i);
-    }
-  }
-  ~crowd() {
-    for (const auto& each : clients_) {
-      each->close();
-    }
-  }
-  crowd(const crowd&) = delete;
-  crowd& operator=(const crowd&) = delete;
-
-  const std::vector<std::shared_ptr<hostile_client>>& clients() const {
-    return clients_;
-  }
-
- private:
-  std::vector<std::shared_ptr<hostile_client>> clients_;
-};
-
 struct hostile_clients : gateway_fixture {
   hostile_clients()
       : gateway_fixture(60000, 300, {{"max_body_bytes", max_body_bytes}}) {
@@ -194,21 +59,6 @@
     wait_until_ready();
   }
 
-  long memory_kb(const std::string& name) const {
-    std::ifstream status(fmt::format("/proc/{}/status", gateway->pid()));
-    for (std::string line; std::getline(status, line);) {
-      if (line.rfind(name, 0) == 0) {
-        return std::stol(line.substr(name.size() + 1));
-      }
-    }
-    return -1;
-  }
-  std::size_t descriptors() const {
-    const std::filesystem::directory_iterator open(
-        fmt::format("/proc/{}/fd", gateway->pid()));
-    return static_cast<std::size_t>(std::distance(begin(open), end(open)));
-  }
-
   // Runs the crowd until all its clients have ended, or have sent everything
   // and stayed open for a while.
   void play(std::size_t count, const client_input& input) {
@@ -217,7 +67,8 @@
     std::size_t most_descriptors = 0;
     const auto watch = [&](const auto& done) {
       return [&, done] {
-        most_descriptors = std::max(most_descriptors, descriptors());
+        most_descriptors =
+            std::max(most_descriptors, open_descriptors(gateway->pid()));
         return !gateway->running() ||
                std::all_of(clients.begin(), clients.end(),
                            [&](const auto& each) { return done(*each); });
@@ -237,7 +88,7 @@
 
   void check(std::size_t most_descriptors) {
     BOOST_REQUIRE(gateway->running());
-    const long peak = memory_kb("VmHWM:");
+    const long peak = memory_kb(gateway->pid(), "VmHWM:");
     BOOST_TEST_MESSAGE(fmt::format("peak {} MB, descriptors {}", peak >> 10U,
                                    most_descriptors));
     BOOST_TEST(peak > 0);
@@ -375,7 +226,7 @@
   run_until(loop, [&] {
     return !gateway->running() || std::chrono::steady_clock::now() >= end;
   });
-  check(descriptors());
+  check(open_descriptors(gateway->pid()));
   running.reset();
   instances = ordinary;
   check_served();
