Quarantine: ids of any bytes become short texts

A part of a prompt whose id has bytes that aren't UTF-8 ended every gateway with a disk as soon as it was quarantined, again and again: the state is written as JSON, whose writer throws on such bytes, and nothing catches it. Callers of other services lost the requests that were under way.

Ids come from a request header, so all bytes over 127 are possible. An id that is long or has other bytes than printable ASCII is now replaced by its hash where it enters the quarantine, which covers the file, messages between processes and log lines; the same holds for the id that is sent to the leader with a placement. An id with the marker of requests is hashed, too, as the quarantine took it for a request. The file is written with bytes replaced, so that no later source can end a process there.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -1,6 +1,6 @@
 #include "gateway/prompt_quarantine.h"
 
-#include <absl/strings/match.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <fmt/format.h>
@@ -20,12 +20,25 @@
 // part has one, see bounded_id().
 constexpr char part_separator = ' ';
 
+std::string hashed_id(const std::string& id) {
+  return fmt::format("#{:016x}", stable_hash(id));
+}
+
+// Returns whether an id can be a text in messages, files and log lines.
+bool is_text(const std::string& id) {
+  return std::all_of(id.begin(), id.end(), [](char each) {
+    return absl::ascii_isgraph(static_cast<unsigned char>(each));
+  });
+}
+
+}  // namespace
+
 std::string bounded_id(const std::string& id) {
-  return id.size() <= max_id_bytes && !absl::StrContains(id, part_separator)
-             ? id
-             : fmt::format("#{:016x}", stable_hash(id));
+  return id.size() <= max_id_bytes && is_text(id) ? id : hashed_id(id);
 }
 
+namespace {
+
 // Returns the parts that a key names, in order and each once.
 std::vector<std::string> parts_of(const std::string& key) {
   std::set<std::string> parts;
@@ -69,6 +82,9 @@
   std::set<std::string> known;
   for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
     std::string id = bounded_id(prompt[i].id);
+    if (is_request_identity(id)) {
+      id = hashed_id(id);
+    }
     if (known.insert(id).second) {
       out.push_back(std::move(id));
     }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -121,9 +121,14 @@
   std::size_t max_sound_parts = 2048;
 };
 
+/// Returns an id that callers chose as a short text without spaces: itself, or
+/// its hash if it is long or has other bytes than printable ASCII.
+/// Thread-safe.
+std::string bounded_id(const std::string& id);
+
 /// Returns the parts of a prompt that other requests may share: the ids of all
 /// but the last one, each once. Their number is bounded only by the limit of a
-/// request's head. Long ids are hashed. Thread-safe.
+/// request's head. Ids are bounded. Thread-safe.
 std::vector<std::string> shared_parts(const std::vector<prompt_part>& prompt);
 
 /// A part is a suspect of an end if an answer on it was lost with the server
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -87,7 +87,7 @@
   }
   const absl::Status written =
       replace_file(disk_, process_.options.data_folder, file_name,
-                   nlohmann::json(state).dump());
+                   write_json(nlohmann::json(state)));
   if (written.ok()) {
     saved_ = std::move(without_ages);
   } else if (!save_failed_) {
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -308,7 +308,7 @@
     need.profile = service().engine.value_or(engine_profile{});
     need.ask.organisation = request().resolved.organisation();
     const std::vector<prompt_part>& prompt = request().caller.prompt;
-    need.ask.prompt = prompt.empty() ? "" : prompt.back().id;
+    need.ask.prompt = prompt.empty() ? "" : bounded_id(prompt.back().id);
     need.ask.turn = turn;
     need.ask.prompt_tokens = prompt_tokens_ + generated_tokens();
     need.ask.output_tokens =
--- a/test/gateway-crashing-part-test.cc
+++ b/test/gateway-crashing-part-test.cc
@@ -39,11 +39,6 @@
 constexpr auto observed_time = milliseconds(4000);
 constexpr int learned_after = 5;  // crashes
 constexpr int max_late_sends = 3;
-const std::string crashing_part = "bad1";
-
-bool has_crashing_part(const std::string& prompt) {
-  return prompt.find(crashing_part + ":") != std::string::npos;
-}
 
 struct crashing_engine {
   std::string id;
@@ -111,6 +106,10 @@
         });
   }
 
+  bool has_crashing_part(const std::string& prompt) const {
+    return prompt.find(crashing_part + ":") != std::string::npos;
+  }
+
   void count_send(const std::string& prompt) {
     if (has_crashing_part(prompt)) {
       crashing_sends.push_back(steady_clock::now());
@@ -214,6 +213,12 @@
     run_until(loop, [&] { return steady_clock::now() >= end; });
   }
 
+  // Returns whether the log names this event.
+  bool logged(const std::string& name) const {
+    return folder.read("g1.log").find("\"" + name + "\"") != std::string::npos;
+  }
+
+  std::string crashing_part = "bad1";
   bool stopped = false;
   std::deque<crashing_engine> engines;
   std::deque<sent_request> sent;
@@ -267,3 +272,25 @@
   BOOST_TEST(sound_served == sound);
   BOOST_TEST(refused == crashing);
 }
+
+// Header values may have bytes that aren't UTF-8.
+BOOST_FIXTURE_TEST_CASE(part_with_any_bytes_is_quarantined,
+                        crashing_part_fixture) {
+  crashing_part = "bad\xff\xc3";
+  send_each(sound_interval, true);
+  send_each(crashing_interval, false);
+  BOOST_TEST(run_until(
+      loop, [&] { return !gateway->running() || logged("part_quarantined"); }));
+  run_loop_for(milliseconds(1000));  // within which the quarantine is saved
+  stopped = true;
+  BOOST_REQUIRE(gateway->running());
+  BOOST_REQUIRE(run_until(loop, [&] {
+    return std::all_of(sent.begin(), sent.end(),
+                       [](const sent_request& each) { return each.ended; });
+  }));
+  BOOST_TEST(run_until(
+      loop, [&] { return call(callers, request_to("/l/x")).status != 0; }));
+  send(false);
+  BOOST_REQUIRE(run_until(loop, [&] { return sent.back().ended; }));
+  BOOST_TEST(sent.back().got.status == status_unavailable);
+}
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -1,8 +1,14 @@
 // Tests of the quarantine of parts of prompts, on a simulated fleet.
 #include "gateway/prompt_quarantine.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <ctime>
+#include <nlohmann/json.hpp>
 
+#include "gateway/request_identity.h"
 #include "quarantine_simulation.h"
 
 namespace citronwharf {
@@ -406,6 +412,38 @@
   BOOST_TEST(parts.at(0).size() <= 64U);
 }
 
+// Callers choose the ids, and no byte of them may reach a file or a message
+// that can't hold it, nor make a part look like a request.
+BOOST_AUTO_TEST_CASE(ids_of_any_bytes_become_short_texts) {
+  const std::vector<std::string> ids{
+      "\xff",     "a\xc3", "\xed\xa0\x80", std::string("a\0b", 3),
+      "a b",      "a\tb",  "\x7f",         std::string(65, 'a'),
+      "r:0123456"};
+  std::vector<prompt_part> prompt;
+  for (const std::string& id : ids) {
+    prompt.push_back({id, 1});
+  }
+  prompt.push_back({"own", 1});
+  const std::vector<std::string> parts = shared_parts(prompt);
+  BOOST_TEST(parts.size() == ids.size());
+  for (const std::string& part : parts) {
+    BOOST_TEST(part.size() <= 64U);
+    BOOST_TEST(!is_request_identity(part));
+  }
+  prompt_quarantine in;
+  prompt_quarantine other;
+  quarantine_state state;
+  state.ends.emplace_back();
+  state.ends.back().server = "e\xff";
+  state.ends.back().suspects = ids;
+  state.parts.push_back({"\xff a", 1});
+  other.merge(state, start);
+  in.record_end("e1", parts, start);
+  in.merge(other.state(start), start);
+  BOOST_CHECK_NO_THROW(nlohmann::json(in.state(start)).dump());
+  BOOST_CHECK_NO_THROW(nlohmann::json(in.take_changes()).dump());
+}
+
 // Guards against a crashing part that is never found because it is behind many
 // others.
 BOOST_AUTO_TEST_CASE(part_at_the_end_of_a_long_prompt_is_found) {
