Quarantine: the time for a prompt does not grow with the table

Prompts of 2,602 parts, one of which crashes engines, stopped a gateway for 1.3 to 4 s each; nothing on it was answered meanwhile. Once the table of suspects was full of parts that are suspects of two ends or more, each part of a further prompt looked through the whole table for one to drop, found none, and the next part looked again.

The suspects of an end are now added together: the table is counted once, as much room is made as is missing, and parts that are suspects of other ends, too, come first if it does not suffice. Loops of the same kind, whose length a caller chooses, inside another one: the parts of a quarantine are looked up in sorted parts, answers clear the smaller of two sets, and the ends of all requests are counted in one pass.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -52,10 +52,16 @@
   return absl::StrJoin(parts, std::string(1, part_separator));
 }
 
-// Precondition: both are sorted.
+// Precondition: `all` is sorted.
+bool contains(const std::vector<std::string>& all, const std::string& value) {
+  return std::binary_search(all.begin(), all.end(), value);
+}
+
+// Precondition: `all` is sorted.
 bool includes(const std::vector<std::string>& all,
               const std::vector<std::string>& some) {
-  return std::includes(all.begin(), all.end(), some.begin(), some.end());
+  return std::all_of(some.begin(), some.end(),
+                     [&](const auto& each) { return contains(all, each); });
 }
 
 std::vector<std::string> sorted(std::vector<std::string> in) {
@@ -152,67 +158,86 @@
   return *ends_.insert(place, std::move(end));
 }
 
-// Returns whether the part was added.
-bool prompt_quarantine::add_suspect(server_end& end, const std::string& part) {
-  if (end.explained || contains(end.suspects, part)) {
+// Adds suspects of an end. If there are too many, parts that are suspects of
+// other ends, too, come first. Returns whether any was added.
+bool prompt_quarantine::add_suspects(server_end& end,
+                                     const std::vector<std::string>& parts) {
+  if (end.explained) {
     return false;
   }
+  std::vector<std::string> added;
+  for (const std::string& part : parts) {
+    if (!contains(end.suspects, part)) {
+      added.push_back(part);
+    }
+  }
   std::size_t all = 0;
   for (const server_end& each : ends_) {
     all += each.suspects.size();
   }
-  if (all >= options_.max_suspects && !make_room()) {
-    ++dropped_suspects_;
-    return false;
+  std::size_t room =
+      options_.max_suspects - std::min(all, options_.max_suspects);
+  if (added.size() > room) {
+    part_counts counts = count_suspects();
+    for (const std::string& part : added) {
+      ++counts[part];
+    }
+    room += make_room(added.size() - room, counts);
+    std::stable_partition(added.begin(), added.end(),
+                          [&](const auto& part) { return counts[part] > 1; });
   }
-  end.suspects.insert(part);
-  return true;
+  if (added.size() > room) {
+    dropped_suspects_ += added.size() - room;
+    added.resize(room);
+  }
+  end.suspects.insert(added.begin(), added.end());
+  return !added.empty();
 }
 
-bool prompt_quarantine::is_suspect_elsewhere(const server_end& end,
-                                             const std::string& part) const {
-  return std::any_of(ends_.begin(), ends_.end(), [&](const server_end& each) {
-    return &each != &end && contains(each.suspects, part);
-  });
+// Returns of how many ends each part is a suspect.
+prompt_quarantine::part_counts prompt_quarantine::count_suspects() const {
+  part_counts out;
+  for (const server_end& end : ends_) {
+    for (const std::string& part : end.suspects) {
+      ++out[part];
+    }
+  }
+  return out;
 }
 
-// Drops the suspects of one end that are the least likely cause: parts that
-// were answered since, then parts that were answered before, then parts that
-// are suspects of no other end. A part that ends servers again and again is
-// none of these.
-bool prompt_quarantine::make_room() {
+// Drops the suspects of one end after the other that are the least likely
+// cause, until there is room for so many more: parts that were answered since,
+// then parts that were answered before, then parts that are suspects of no
+// other end. A part that ends servers again and again is none of these. Returns
+// the number of those dropped.
+std::size_t prompt_quarantine::make_room(std::size_t missing,
+                                         const part_counts& counts) {
   using set_member = std::set<std::string> server_end::*;
-  const auto drop_known = [&](set_member known) {
+  std::size_t dropped = 0;
+  for (const set_member known : {&server_end::cleared, &server_end::sound}) {
     for (server_end& end : ends_) {
-      if ((end.*known).empty()) {
-        continue;
+      if (dropped >= missing) {
+        break;
       }
-      const std::set<std::string> dropped = std::exchange(end.*known, {});
-      for (const std::string& part : dropped) {
-        end.suspects.erase(part);
+      for (const std::string& part : std::exchange(end.*known, {})) {
+        dropped += end.suspects.erase(part);
         end.sound.erase(part);
         end.cleared.erase(part);
       }
-      dropped_suspects_ += dropped.size();
-      return true;
     }
-    return false;
-  };
-  if (drop_known(&server_end::cleared) || drop_known(&server_end::sound)) {
-    return true;
   }
   for (server_end& end : ends_) {
-    const std::size_t before = end.suspects.size();
-    for (auto part = end.suspects.begin(); part != end.suspects.end();) {
-      part = is_suspect_elsewhere(end, *part) ? std::next(part)
-                                              : end.suspects.erase(part);
+    if (dropped >= missing) {
+      break;
     }
-    if (end.suspects.size() < before) {
-      dropped_suspects_ += before - end.suspects.size();
-      return true;
+    for (auto part = end.suspects.begin(); part != end.suspects.end();) {
+      const bool elsewhere = counts.at(*part) > 1;
+      dropped += elsewhere ? 0 : 1;
+      part = elsewhere ? std::next(part) : end.suspects.erase(part);
     }
   }
-  return false;
+  dropped_suspects_ += dropped;
+  return dropped;
 }
 
 // Adds what this process knows about the suspects of an end.
@@ -238,9 +263,7 @@
   expire(now);
   bool changed = false;
   server_end& end = find_end(server, now, changed);
-  for (const std::string& part : parts) {
-    changed = add_suspect(end, part) || changed;
-  }
+  changed = add_suspects(end, parts) || changed;
   annotate(end);
   evaluate(now);
   if (changed) {
@@ -302,6 +325,10 @@
 // any changed.
 bool prompt_quarantine::release_answered(const std::vector<std::string>& parts,
                                          time_point began_at, time_point now) {
+  if (quarantines_.empty()) {
+    return false;
+  }
+  const std::vector<std::string> answered = sorted(parts);
   std::vector<quarantine> narrowed;
   bool changed = false;
   for (auto& [key, each] : quarantines_) {
@@ -310,7 +337,7 @@
     }
     std::vector<std::string> left;
     for (const std::string& part : each.parts) {
-      if (std::find(parts.begin(), parts.end(), part) == parts.end()) {
+      if (!contains(answered, part)) {
         left.push_back(part);
       }
     }
@@ -347,14 +374,15 @@
 
 // A request whose quarantine has ended is quarantined again at the first end.
 bool prompt_quarantine::quarantine_requests(time_point now) {
-  std::set<std::string> requests;
+  std::map<std::string, std::size_t> ends_of;
   for (const server_end& each : ends_) {
-    requests.insert(each.requests.begin(), each.requests.end());
+    for (const std::string& request : each.requests) {
+      ends_of[request] += contains(each.settled, request) ? 0 : 1;
+    }
   }
   bool changed = false;
-  for (const std::string& each : requests) {
-    const std::size_t ends = count_ends(each);
-    const auto found = quarantines_.find(each);
+  for (const auto& [request, ends] : ends_of) {
+    const auto found = quarantines_.find(request);
     const bool known = found != quarantines_.end();
     if (ends == 0 || (known && holds(found->second, now))) {
       continue;
@@ -362,10 +390,10 @@
     const bool again = known && on_probation(found->second, now);
     if (again || ends >= options_.min_request_ends) {
       suspicion which;
-      which.part = each;
+      which.part = request;
       which.ends = ends;
       changed = start_quarantine(which, now);
-      settle(each);
+      settle(request);
     }
   }
   return changed;
@@ -403,16 +431,39 @@
   ++known.answers;
 }
 
+// Clears the suspects among these parts. Takes time in proportion to the
+// smaller of both. Precondition: `answered` is sorted.
+bool prompt_quarantine::clear(server_end& end,
+                              const std::vector<std::string>& answered) {
+  bool changed = false;
+  if (end.suspects.size() < answered.size()) {
+    for (const std::string& part : end.suspects) {
+      if (contains(answered, part)) {
+        changed = end.cleared.insert(part).second || changed;
+      }
+    }
+    return changed;
+  }
+  for (const std::string& part : answered) {
+    if (contains(end.suspects, part)) {
+      changed = end.cleared.insert(part).second || changed;
+    }
+  }
+  return changed;
+}
+
 void prompt_quarantine::record_progress(const std::vector<std::string>& parts,
                                         time_point began_at, time_point now) {
   ++answers_;
   bool changed = false;
   for (const std::string& part : parts) {
     remember_sound(part, began_at);
-    for (server_end& each : ends_) {
-      if (each.at < began_at && contains(each.suspects, part)) {
-        changed = each.cleared.insert(part).second || changed;
-      }
+  }
+  const std::vector<std::string> answered =
+      ends_.empty() ? std::vector<std::string>() : sorted(parts);
+  for (server_end& each : ends_) {
+    if (each.at < began_at) {
+      changed = clear(each, answered) || changed;
     }
   }
   changed = release_answered(parts, began_at, now) || changed;
@@ -865,9 +916,11 @@
       changed = true;
       continue;
     }
+    std::vector<std::string> suspects;
     for (const std::string& part : each.suspects) {
-      changed = add_suspect(end, bounded_id(part)) || changed;
+      suspects.push_back(bounded_id(part));
     }
+    changed = add_suspects(end, suspects) || changed;
     const auto add_known = [&](const std::vector<std::string>& parts,
                                std::set<std::string>& to) {
       for (const std::string& part : parts) {
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
@@ -235,10 +236,11 @@
   };
 
   server_end& find_end(const std::string& server, time_point at, bool& changed);
-  bool add_suspect(server_end& end, const std::string& part);
-  bool make_room();
-  bool is_suspect_elsewhere(const server_end& end,
-                            const std::string& part) const;
+  using part_counts = std::unordered_map<std::string, std::size_t>;
+  bool add_suspects(server_end& end, const std::vector<std::string>& parts);
+  part_counts count_suspects() const;
+  std::size_t make_room(std::size_t missing, const part_counts& counts);
+  static bool clear(server_end& end, const std::vector<std::string>& answered);
   bool annotate(server_end& end);
   duration span(const quarantine& of) const;
   bool holds(const quarantine& of, time_point now) const;
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -444,6 +444,48 @@
   BOOST_CHECK_NO_THROW(nlohmann::json(in.take_changes()).dump());
 }
 
+namespace {
+
+// Returns the processor time of an end under a prompt of many parts.
+double time_of_end(prompt_quarantine& in, const std::string& server, int first,
+                   time_point now) {
+  constexpr int length = 2600;
+  std::vector<std::string> parts;
+  parts.reserve(length);
+  for (int i = 0; i < length; ++i) {
+    parts.push_back(fmt::format("p{}", first + i));
+  }
+  const std::clock_t begin = std::clock();
+  in.record_end(server, parts, now);
+  return static_cast<double>(std::clock() - begin);
+}
+
+}  // namespace
+
+// Guards against a table of suspects that is searched for each part of a
+// prompt: the processor time of an end is compared with that of the first one.
+BOOST_AUTO_TEST_CASE(end_under_many_parts_takes_no_longer_when_many_are_known) {
+  prompt_quarantine in;
+  time_point now = start;
+  const double first = time_of_end(in, "e", 0, now);
+  // Fills the table with parts of which each is a suspect of two ends.
+  for (int i = 0; i < 2; ++i) {
+    now += seconds(3);
+    time_of_end(in, fmt::format("f{}", i), 0, now);
+    now += seconds(3);
+    time_of_end(in, fmt::format("g{}", i), 10000, now);
+  }
+  double later = 0;
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(3);
+    later =
+        std::max(later, time_of_end(in, fmt::format("h{}", i), 20000 * i, now));
+  }
+  BOOST_TEST_MESSAGE(first << " and " << later);
+  constexpr double max_ratio = 60;
+  BOOST_TEST(later <= max_ratio * std::max(first, 1.0));
+}
+
 // Guards against a crashing part that is never found because it is behind many
 // others.
 BOOST_AUTO_TEST_CASE(part_at_the_end_of_a_long_prompt_is_found) {
