--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -1,6 +1,9 @@
 // Tests the platform adapter: what it parses, what it rejects, and which
 // headers it forwards.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <ctime>
+#include <string>
 
 #include "control/key.h"
 #include "platform/codec.h"
@@ -120,6 +123,46 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(connection_header_does_not_hide_what_a_request_is) {
+  http_request in = sample_request();
+  in.headers.push_back(
+      {"Connection", "Host, citronwharf-request-id, X-Other,,"});
+  const http_request sent =
+      platform::make_call(platform::read_request(in), server_call());
+  BOOST_TEST(find_header(sent.headers, "Host") == "a.example");
+  BOOST_TEST(find_header(sent.headers, "Citronwharf-Request-Id") == "9c41");
+  BOOST_TEST(find_header(sent.headers, "X-Other").empty());
+}
+
+// Guards against a search for each header among thousands of names: the
+// processor time is compared with that of the same headers alone.
+BOOST_AUTO_TEST_CASE(connection_header_with_many_names_takes_little_time) {
+  http_request in = sample_request();
+  for (int i = 0; i < 1000; ++i) {
+    in.headers.push_back({"X-" + std::to_string(i), ""});
+  }
+  const caller_request plain = platform::read_request(in);
+  std::string names;
+  for (int i = 0; i < 3000; ++i) {
+    names += "N" + std::to_string(i) + ",";
+  }
+  in.headers.push_back({"Connection", names});
+  const caller_request naming = platform::read_request(in);
+  const auto time_of = [](const caller_request& read) {
+    constexpr int repetitions = 20;
+    const std::clock_t begin = std::clock();
+    for (int i = 0; i < repetitions; ++i) {
+      platform::make_call(read, server_call());
+    }
+    return static_cast<double>(std::clock() - begin);
+  };
+  const double alone = time_of(plain);
+  const double with_names = time_of(naming);
+  BOOST_TEST_MESSAGE(alone << " and " << with_names);
+  constexpr double max_ratio = 20;
+  BOOST_TEST(with_names <= max_ratio * std::max(alone, 1.0));
+}
+
 BOOST_AUTO_TEST_CASE(key_and_forged_headers_are_not_forwarded_to_the_server) {
   const caller_request read = platform::read_request(sample_request());
   BOOST_TEST(read.key == "k1");
