Refuse requests whose end is uncertain

The parser accepts such heads, and the connection asked it for no more than a length.

A head is now refused with 400, and its connection closed, unless all readers find the same end (RFC 9112, section 6.3): one Content-Length, or exactly "Transfer-Encoding: chunked" in HTTP/1.1, or neither; never both. A coding before chunked is refused, too, since the body was passed on without it. So is more than one Host (section 3.2).

request_without_a_certain_end_is_never_handled: 28 kinds of heads, each before a body that is a request and before one in chunks.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -143,6 +143,7 @@
   void refuse_for_memory();
   void limit_chunk_extensions();
   std::size_t held_bytes(std::size_t request_bytes) const;
+  bool is_framed_safely() const;
   bool reserve_body();
   void release_input();
   void discard();
--- a/src/net/http_connection_read.cc
+++ b/src/net/http_connection_read.cc
@@ -126,6 +126,10 @@
 }
 
 void http_connection::accept_head() {
+  if (!is_framed_safely()) {
+    refuse_request(make_problem(400, "malformed-request"));
+    return;
+  }
   // Fields take many times the memory of their bytes, so they are kept once.
   request_ = make_request(parser_->get());
   parser_->get().clear();
@@ -147,6 +151,20 @@
   read_body();
 }
 
+// Returns whether every reader of the head finds the end of the request at the
+// same byte (RFC 9112, section 6.3) and the same host (section 3.2).
+bool http_connection::is_framed_safely() const {
+  const auto& head = parser_->get();
+  const auto encodings = head.count(http::field::transfer_encoding);
+  const auto lengths = head.count(http::field::content_length);
+  constexpr unsigned http_1_1 = 11;
+  const bool chunked =
+      encodings == 1 && lengths == 0 && head.version() >= http_1_1 &&
+      boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+  return head.count(http::field::host) <= 1 &&
+         (chunked || (encodings == 0 && lengths <= 1));
+}
+
 // Passes the head to the handler that may refuse the request.
 bool http_connection::refused_by_head() {
   if (!options_.on_head) {
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -343,6 +343,63 @@
   }
 }
 
+// Two readers of such a head may find the end of its request at different
+// bytes, so that one of them takes a part of the body for the next request.
+BOOST_AUTO_TEST_CASE(request_without_a_certain_end_is_never_handled) {
+  const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string chunk =
+      fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", inner.size(), inner);
+  const std::vector<std::string> fields{
+      "Transfer-Encoding: gzip",
+      "Transfer-Encoding: identity",
+      "Transfer-Encoding: xchunked",
+      "Transfer-Encoding: chunked, identity",
+      "Transfer-Encoding: gzip, chunked",
+      "Transfer-Encoding: chunked, chunked",
+      "Transfer-Encoding: \"chunked\"",
+      "Transfer-Encoding: chunked;q=1",
+      "Transfer-Encoding:",
+      "Transfer-Encoding: ,",
+      "Transfer-Encoding: \xff",
+      "Transfer-Encoding : chunked",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked",
+      "Transfer-Encoding: gzip\r\nContent-Length: 3",
+      "Content-Length: 3\r\nTransfer-Encoding: gzip",
+      "Content-Length: 0\r\nContent-Length: 3",
+      "Content-Length: 3, 0",
+      "Content-Length: +3",
+      "Content-Length: -3",
+      "Content-Length: 0x3",
+      "Content-Length: 3 0",
+      "Content-Length:",
+      "Content-Length : 3",
+      "Host: b",
+  };
+  const auto check = [&](const std::string& bytes) {
+    BOOST_TEST_CONTEXT(bytes) {
+      boost::asio::io_context loop;
+      test_server at(loop);
+      tcp::socket caller = connect_raw(loop, at.port);
+      boost::asio::write(caller, boost::asio::buffer(bytes));
+      const std::string received = read_to_end(loop, caller);
+      BOOST_TEST(received.substr(0, 12) == "HTTP/1.1 400");
+      BOOST_TEST(received.rfind("HTTP/1.1 ") == 0U);
+      BOOST_TEST(at.requests == 0);
+    }
+  };
+  for (const std::string& each : fields) {
+    for (const std::string& body : {inner, chunk}) {
+      check("POST / HTTP/1.1\r\nHost: a\r\n" + each + "\r\n\r\n" + body);
+    }
+  }
+  check("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        chunk);
+}
+
 // Fields behind the body were not there when the request was admitted.
 BOOST_AUTO_TEST_CASE(trailers_are_not_taken_for_headers) {
   boost::asio::io_context loop;
