Let idle connections give way to new ones

Clients that open connections and send nothing kept ordinary callers out: with all connections taken, each new one got 503 for as long as the idle ones stayed, up to the idle timeout of 60 s; with all descriptors taken, none was accepted and none to a server could be opened, while accepting was repeated without a pause.

A new connection now takes the place of one that never had a request, then of an idle one, then of one that is stalled (buffer_budget decides); only beside others with requests it is refused, and at most 64 refusals are open at once. Callers get half of the descriptors that the process does not need for itself (limits.max_descriptors, from the platform's settings or RLIMIT_NOFILE): 1,900 connections of 4,100 descriptors, 1,387 of 3,075. Without a free descriptor, accepting pauses.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -3,8 +3,12 @@
 #include <absl/strings/str_join.h>
 #include <fmt/format.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <cstdint>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -127,6 +131,25 @@
 
 }  // namespace
 
+std::size_t max_caller_connections(const limit_settings& in) {
+  // For files, listeners, sessions with other processes and idle connections to
+  // servers.
+  constexpr std::int64_t max_reserved = 300;
+  constexpr std::int64_t reserved_divisor = 4;
+  constexpr std::int64_t descriptors_per_caller = 2;
+  std::int64_t descriptors = in.max_descriptors;
+  rlimit limit{};
+  if (descriptors == 0 && ::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    descriptors = static_cast<std::int64_t>(std::min<rlim_t>(
+        limit.rlim_cur, std::numeric_limits<std::int32_t>::max()));
+  }
+  const std::int64_t reserved =
+      std::min(max_reserved, descriptors / reserved_divisor);
+  return static_cast<std::size_t>(std::clamp<std::int64_t>(
+      (descriptors - reserved) / descriptors_per_caller, 1,
+      std::max<std::int64_t>(in.max_connections, 1)));
+}
+
 std::size_t max_buffered_bytes(const limit_settings& in) {
   // Three eighths of 88 MB, the smallest VMs. Beside it, such a process needs
   // 13 MB when idle and up to 20 MB for responses that are being received.
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -38,6 +38,8 @@
 
 struct limit_settings {
   std::int64_t max_connections = 4096;
+  /// Of the process; 0: the limit of the operating system.
+  std::int64_t max_descriptors = 0;
   std::int64_t max_header_bytes = 16384;
   std::int64_t max_body_bytes = 1048576;
   /// Of all requests and responses that a gateway holds; 0: derived, see
@@ -51,10 +53,16 @@
   std::int64_t write_timeout_ms = 10000;
   std::int64_t drain_timeout_ms = 60000;
 };
-CITRONWHARF_VALUE(limit_settings, max_connections, max_header_bytes,
-                  max_body_bytes, max_buffered_bytes, memory_mb, max_waiting,
-                  max_waiting_per_organisation, read_timeout_ms,
-                  idle_timeout_ms, write_timeout_ms, drain_timeout_ms)
+CITRONWHARF_VALUE(limit_settings, max_connections, max_descriptors,
+                  max_header_bytes, max_body_bytes, max_buffered_bytes,
+                  memory_mb, max_waiting, max_waiting_per_organisation,
+                  read_timeout_ms, idle_timeout_ms, write_timeout_ms,
+                  drain_timeout_ms)
+
+/// Returns how many callers may be connected to a gateway: as set, and so many
+/// that a connection to a server for each of them, files and other processes
+/// find descriptors. At least 1.
+std::size_t max_caller_connections(const limit_settings& in);
 
 /// Returns the memory that a gateway may use for requests that are not answered
 /// and responses that are not read: as set, or three eighths of the VM's
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -294,7 +294,7 @@
   const limit_settings& limits = process_.options.limits;
   http_server_options options;
   options.listen = process_.options.listen.callers;
-  options.max_connections = static_cast<std::size_t>(limits.max_connections);
+  options.max_connections = max_caller_connections(limits);
   options.max_header_bytes = static_cast<std::size_t>(limits.max_header_bytes);
   options.max_body_bytes = static_cast<std::size_t>(limits.max_body_bytes);
   options.read_timeout = milliseconds(limits.read_timeout_ms);
--- a/src/net/buffer_budget.cc
+++ b/src/net/buffer_budget.cc
@@ -71,6 +71,37 @@
   return in_order(std::move(found));
 }
 
+// The lowest rank is the most dispensable one.
+std::optional<int> buffer_budget::dispensable_rank(const holder& of,
+                                                   time_point now) const {
+  if (of.use == buffer_use::unused) {
+    return 0;
+  }
+  if (of.use == buffer_use::idle) {
+    return 1;
+  }
+  return stalled(of, now) ? std::optional<int>(2) : std::nullopt;
+}
+
+bool buffer_budget::is_dispensable(std::uint64_t connection,
+                                   time_point now) const {
+  const auto known = holders_.find(connection);
+  return known != holders_.end() &&
+         dispensable_rank(known->second, now).has_value();
+}
+
+std::vector<std::uint64_t> buffer_budget::dispensable(time_point now) const {
+  std::vector<ranked> found;
+  for (const auto& [connection, each] : holders_) {
+    if (const auto rank = dispensable_rank(each, now)) {
+      const double waited =
+          std::chrono::duration<double>(now - each.progress).count();
+      found.push_back({*rank, waited, connection});
+    }
+  }
+  return in_order(std::move(found));
+}
+
 buffer_budget::decision buffer_budget::hold(std::uint64_t connection,
                                             std::size_t bytes, buffer_use use,
                                             time_point now) {
--- a/src/net/buffer_budget.h
+++ b/src/net/buffer_budget.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -58,6 +59,12 @@
                 time_point now);
   /// Registers that a connection has made progress.
   void progress(std::uint64_t connection, time_point now);
+  /// Returns the connections that may be closed so that another one can be
+  /// opened, the most dispensable one first: those without a request yet, idle
+  /// ones, stalled ones; of each, that without progress for longest.
+  std::vector<std::uint64_t> dispensable(time_point now) const;
+  /// Returns whether the connection is one of them.
+  bool is_dispensable(std::uint64_t connection, time_point now) const;
   /// The connection holds nothing any more.
   void release(std::uint64_t connection);
 
@@ -71,6 +78,7 @@
   };
 
   bool stalled(const holder& of, time_point now) const;
+  std::optional<int> dispensable_rank(const holder& of, time_point now) const;
   std::size_t limit(std::size_t bytes) const;
   std::vector<std::uint64_t> candidates(std::uint64_t asking, buffer_use use,
                                         time_point now) const;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -127,6 +127,18 @@
   return held;
 }
 
+bool http_connection::end_for_another() {
+  if (phase_ == phase::idle) {
+    close_if_idle();
+    return phase_ == phase::closed;
+  }
+  if (phase_ != phase::reading) {
+    return false;
+  }
+  refuse_request(make_problem(503, "too-many-connections"));
+  return true;
+}
+
 void http_connection::refuse_for_memory() {
   refuse_request(make_problem(503, "out-of-memory"));
   if (const auto server = server_.lock()) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "net/buffer_budget.h"
 #include "net/http_server.h"
@@ -31,7 +32,8 @@
         budget_(make_budget_options(options_)),
         on_request_(std::move(on_request)),
         loop_(loop),
-        acceptor_(loop) {}
+        acceptor_(loop),
+        accept_timer_(loop) {}
 
   absl::StatusOr<std::uint16_t> listen();
   void stop_accepting();
@@ -66,6 +68,10 @@
   std::size_t buffered_bytes() const;
 
  private:
+  /// Ends a dispensable connection for a new one. Returns false if there is
+  /// none.
+  bool make_room();
+  bool end_dispensable(time_point now);
   void on_freed(std::size_t bytes);
   static buffer_budget_options make_budget_options(
       const http_server_options& in) {
@@ -86,8 +92,10 @@
       connections_;
   // Shared because connections may outlive the server.
   std::shared_ptr<std::size_t> queued_bytes_ = std::make_shared<std::size_t>(0);
+  std::vector<std::uint64_t> dispensable_;  ///< the next one is at the end
   std::size_t freed_bytes_ = 0;  ///< since free memory was last given back
-  bool closing_ = false;         // connections end after their next response
+  runtime_timer accept_timer_;
+  bool closing_ = false;  // connections end after their next response
   bool closed_ = false;
 };
 
@@ -109,6 +117,9 @@
   void close();
   /// Stays open if a request has already arrived.
   void close_if_idle();
+  /// Closes the connection if it is idle; refuses a request that is being
+  /// received. Returns false if there is nothing to end.
+  bool end_for_another();
   /// Refuses a request that has not been read completely.
   void refuse_unread();
   /// Refuses the request that is being received or closes the connection, since
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -16,6 +16,16 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+// How long accepting pauses after an error.
+constexpr duration accept_pause = milliseconds(50);
+// Connections over the limit that are open at once to be refused with a
+// response. Further ones are closed without one.
+constexpr std::size_t max_refused_connections = 64;
+
+}  // namespace
+
 absl::StatusOr<std::uint16_t> http_server::impl::listen() {
   const auto address = parse_address(options_.listen);
   if (!address.ok()) {
@@ -41,20 +51,36 @@
 }
 
 void http_server::impl::accept() {
-  acceptor_.async_accept(
-      [self = shared_from_this()](error_code error, tcp::socket socket) {
-        // A connection may have been accepted just before stop_accepting().
-        if (!error && !self->closed_) {
-          self->add_connection(std::move(socket));
-        }
-        if (self->acceptor_.is_open()) {
-          self->accept();
-        }
-      });
+  acceptor_.async_accept([self = shared_from_this()](error_code error,
+                                                     tcp::socket socket) {
+    // A connection may have been accepted just before stop_accepting().
+    if (!error && !self->closed_) {
+      self->add_connection(std::move(socket));
+    }
+    if (!self->acceptor_.is_open()) {
+      return;
+    }
+    if (!error || (error == asio::error::no_descriptors && self->make_room())) {
+      self->accept();
+      return;
+    }
+    // The next attempt would probably fail at once.
+    self->accept_timer_.expires_after(accept_pause);
+    self->accept_timer_.async_wait([self](error_code /*error*/) {
+      if (self->acceptor_.is_open()) {
+        self->accept();
+      }
+    });
+  });
 }
 
 void http_server::impl::add_connection(tcp::socket socket) {
-  const bool full = connections_.size() >= options_.max_connections;
+  const bool full =
+      connections_.size() >= options_.max_connections && !make_room();
+  if (connections_.size() >=
+      options_.max_connections + max_refused_connections) {
+    return;  // closes it
+  }
   const auto accepted = std::make_shared<detail::http_connection>(
       shared_from_this(), std::move(socket), ++last_connection_);
   connections_.emplace(last_connection_, accepted);
@@ -63,6 +89,33 @@
   }
 }
 
+bool http_server::impl::make_room() {
+  const time_point now = runtime_clock::now();
+  if (end_dispensable(now)) {
+    return true;
+  }
+  dispensable_ = budget_.dispensable(now);
+  std::reverse(dispensable_.begin(), dispensable_.end());
+  return end_dispensable(now);
+}
+
+// Ends the next connection of the list that is still dispensable.
+bool http_server::impl::end_dispensable(time_point now) {
+  while (!dispensable_.empty()) {
+    const std::uint64_t id = dispensable_.back();
+    dispensable_.pop_back();
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !budget_.is_dispensable(id, now)) {
+      continue;
+    }
+    const auto next = found->second;
+    if (next->end_for_another()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::size_t http_server::impl::buffered_bytes() const {
   return budget_.held_bytes() -
          std::min(budget_.held_bytes(),
--- a/test/buffer_budget-test.cc
+++ b/test/buffer_budget-test.cc
@@ -90,6 +90,41 @@
   BOOST_TEST(budget.held_bytes() <= 8 * megabyte);
 }
 
+// Connections without a request give way to any use, but after stalled ones.
+BOOST_FIXTURE_TEST_CASE(idle_connections_give_way_last, budget_of_8_mb) {
+  BOOST_TEST(grants(1, megabyte, buffer_use::idle));
+  BOOST_TEST(grants(2, megabyte, buffer_use::unused));
+  BOOST_TEST(grants(3, megabyte));
+  now += seconds(2);
+  BOOST_TEST(grants(4, 5 * megabyte));
+  BOOST_TEST(ended == ids{3}, boost::test_tools::per_element());
+  BOOST_TEST(grants(5, megabyte, buffer_use::request));
+  BOOST_TEST(ended == ids{2}, boost::test_tools::per_element());
+  BOOST_TEST(grants(6, megabyte));
+  BOOST_TEST(ended == ids{1}, boost::test_tools::per_element());
+  BOOST_TEST(!grants(7, megabyte));
+}
+
+// For another connection, those give way that lose least.
+BOOST_FIXTURE_TEST_CASE(connections_that_may_be_closed_are_in_order,
+                        budget_of_8_mb) {
+  BOOST_TEST(grants(1, 1000, buffer_use::request));
+  BOOST_TEST(grants(2, 1000, buffer_use::unread_request));
+  BOOST_TEST(grants(3, 1000, buffer_use::idle));
+  BOOST_TEST(grants(4, 1000, buffer_use::unused));
+  now += milliseconds(500);
+  BOOST_TEST(grants(5, 1000, buffer_use::unread_request));
+  BOOST_TEST(grants(6, 1000, buffer_use::idle));
+  BOOST_TEST(grants(7, 1000, buffer_use::unused));
+  now += milliseconds(500);
+  BOOST_TEST((budget.dispensable(now) == ids{4, 7, 3, 6, 2}));
+  BOOST_TEST(!budget.is_dispensable(1, now));
+  BOOST_TEST(!budget.is_dispensable(5, now));
+  BOOST_TEST(!budget.is_dispensable(8, now));
+  budget.progress(2, now);
+  BOOST_TEST(!budget.is_dispensable(2, now));
+}
+
 // A refusal must leave the asking connection's part as it was.
 BOOST_FIXTURE_TEST_CASE(a_refusal_changes_nothing, budget_of_8_mb) {
   BOOST_TEST(grants(1, 6 * megabyte));
--- a/test/gateway-client-memory-test.cc
+++ b/test/gateway-client-memory-test.cc
@@ -3,6 +3,7 @@
 // the budget and a fixed amount. The limits are lowered, so that small crowds
 // exceed them. Checks neither times nor shares of requests served.
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -52,6 +53,22 @@
   return out;
 }
 
+// Lowers the limit on descriptors for the processes that are started next.
+struct few_descriptors {
+  few_descriptors() {
+    BOOST_REQUIRE(::getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    rlimit low = usual;
+    low.rlim_cur = descriptors;
+    BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &low) == 0);
+  }
+  void restore() const {
+    BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &usual) == 0);
+  }
+
+  static constexpr rlim_t descriptors = 200;
+  rlimit usual{};
+};
+
 struct small_limits : gateway_fixture {
   small_limits()
       : gateway_fixture(60000, 300,
@@ -111,6 +128,10 @@
   std::size_t most_descriptors = 0;
 };
 
+struct small_descriptor_limit : few_descriptors, small_limits {
+  small_descriptor_limit() { restore(); }
+};
+
 // The plain service never answers.
 struct silent_service : small_limits {
   silent_service() {
@@ -198,6 +219,27 @@
   play(input, 2 * crowd_size);
 }
 
+// Only idle connections are open when the ordinary request comes.
+BOOST_FIXTURE_TEST_CASE(connections_without_a_byte, small_limits) {
+  crowd running(loop, callers, max_connections, {});
+  watch(running);
+  check();
+  check_served();
+}
+
+BOOST_FIXTURE_TEST_CASE(connections_without_a_byte_use_up_descriptors,
+                        small_descriptor_limit) {
+  crowd running(loop, callers, max_connections, {});
+  watch(running);
+  check();
+  BOOST_TEST(most_descriptors < descriptors);
+  check_served();
+}
+
+BOOST_FIXTURE_TEST_CASE(more_connections_than_allowed, small_limits) {
+  play({}, max_connections + 100);
+}
+
 BOOST_FIXTURE_TEST_CASE(small_requests_at_a_silent_service, silent_service) {
   play_silent({post("Content-Length: 0\r\n\r\n")}, max_connections);
 }
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -44,6 +44,21 @@
   BOOST_TEST(max_buffered_bytes(limits) > 9 * megabyte);
 }
 
+// Callers must not take the descriptors that serving them needs.
+BOOST_AUTO_TEST_CASE(connections_of_callers_follow_the_descriptors) {
+  limit_settings limits;
+  limits.max_connections = 3000;
+  const std::vector<std::pair<int, std::size_t>> table{
+      {10250, 3000}, {4100, 1900}, {3075, 1387}, {200, 75}, {1, 1}};
+  for (const auto& [descriptors, connections] : table) {
+    limits.max_descriptors = descriptors;
+    BOOST_TEST(max_caller_connections(limits) == connections);
+  }
+  limits.max_descriptors = 0;
+  BOOST_TEST(max_caller_connections(limits) >= 1U);
+  BOOST_TEST(max_caller_connections(limits) <= 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(each_error_has_its_json_pointer) {
   struct test_case {
     nlohmann::json patch;
