Requests received slowly give way to ordinary ones

A crowd that sends small bodies a few bytes at a time kept ordinary requests out: each byte counted as progress, so nothing was ever stalled, and the reserve for small requests was used up like the rest. Ordinary requests got 503 for as long as the crowd went on.

Less than 4 KB is no progress any more, of a request as of a response that is read, and queueing more for a client that does not read is none either. If there is still no memory, a small request takes the place of the small one that has been received for longest: ordinary ones arrive at once.

--- a/src/net/buffer_budget.cc
+++ b/src/net/buffer_budget.cc
@@ -45,8 +45,10 @@
 
 // Returns the connections that may be ended for another one, those that cost
 // most first: stalled ones, then, for a response, those still being received,
-// then those without a request.
+// then those without a request, then, for a small request, small ones, that
+// which has been received for longest first.
 std::vector<std::uint64_t> buffer_budget::candidates(std::uint64_t asking,
+                                                     std::size_t bytes,
                                                      buffer_use use,
                                                      time_point now) const {
   std::vector<ranked> found;
@@ -62,10 +64,17 @@
     } else if (each.use == buffer_use::unread_request &&
                use == buffer_use::response) {
       found.push_back({1, cost, connection});
-    } else if (each.use == buffer_use::unused) {
+    } else if (each.use == buffer_use::unused &&
+               now - each.began >= options_.stall_time) {
       found.push_back({2, cost, connection});
     } else if (each.use == buffer_use::idle) {
       found.push_back({3, cost, connection});
+    } else if ((each.use == buffer_use::unused ||
+                each.use == buffer_use::unread_request) &&
+               std::max(bytes, each.bytes) <= options_.small_bytes) {
+      const duration open = now - each.began;
+      found.push_back(
+          {4, std::chrono::duration<double>(open).count(), connection});
     }
   }
   return in_order(std::move(found));
@@ -106,7 +115,8 @@
                                             std::size_t bytes, buffer_use use,
                                             time_point now) {
   const auto known = holders_.find(connection);
-  const std::size_t before = known == holders_.end() ? 0 : known->second.bytes;
+  const bool is_new = known == holders_.end();
+  const std::size_t before = is_new ? 0 : known->second.bytes;
   const std::size_t others = held_bytes_ - before;
   const std::size_t free_for =
       use == buffer_use::response ? options_.max_bytes : limit(bytes);
@@ -115,7 +125,7 @@
       bytes <= before || (bytes <= free_for && others <= free_for - bytes);
   if (!out.granted && bytes <= free_for) {
     std::size_t missing = others - (free_for - bytes);
-    for (const std::uint64_t each : candidates(connection, use, now)) {
+    for (const std::uint64_t each : candidates(connection, bytes, use, now)) {
       const std::size_t freed = holders_.at(each).bytes;
       out.ended.push_back(each);
       out.granted = freed >= missing;
@@ -132,7 +142,13 @@
     release(each);
   }
   held_bytes_ = held_bytes_ - before + bytes;
-  holders_[connection] = {bytes, use, now};
+  holder& of = holders_[connection];
+  if (is_new || of.use != use) {
+    of.began = now;
+    of.progress = now;
+  }
+  of.bytes = bytes;
+  of.use = use;
   return out;
 }
 
--- a/src/net/buffer_budget.h
+++ b/src/net/buffer_budget.h
@@ -43,8 +43,10 @@
 /// more than is free gets what stalled connections hold, first that with the
 /// largest product of size and time without progress; these must be ended. A
 /// response also takes the place of requests that are still being received,
-/// since these can be sent again. Then connections without a request give way.
-/// Otherwise the asking connection is refused.
+/// since these can be sent again. Then connections without a request give way,
+/// and for a small request, the small one that has been received for longest:
+/// ordinary ones arrive at once, and a crowd that sends steadily but slowly
+/// must not use up the reserve. Otherwise the asking connection is refused.
 class buffer_budget {
  public:
   explicit buffer_budget(buffer_budget_options options) : options_(options) {}
@@ -53,8 +55,8 @@
     bool granted = false;
     std::vector<std::uint64_t> ended;  ///< no longer counted; to be ended
   };
-  /// Sets what a connection holds, which counts as progress. Less is always
-  /// granted. Nothing changes if it is refused.
+  /// Sets what a connection holds. Another use counts as progress. Less is
+  /// always granted. Nothing changes if it is refused.
   decision hold(std::uint64_t connection, std::size_t bytes, buffer_use use,
                 time_point now);
   /// Registers that a connection has made progress.
@@ -74,14 +76,15 @@
   struct holder {
     std::size_t bytes = 0;
     buffer_use use = buffer_use::unread_request;
+    time_point began{};  ///< this use
     time_point progress{};
   };
 
   bool stalled(const holder& of, time_point now) const;
   std::optional<int> dispensable_rank(const holder& of, time_point now) const;
   std::size_t limit(std::size_t bytes) const;
-  std::vector<std::uint64_t> candidates(std::uint64_t asking, buffer_use use,
-                                        time_point now) const;
+  std::vector<std::uint64_t> candidates(std::uint64_t asking, std::size_t bytes,
+                                        buffer_use use, time_point now) const;
 
   buffer_budget_options options_;
   std::unordered_map<std::uint64_t, holder> holders_;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t min_progress_bytes = 4U << 10U;
+
 // Limit on bytes read but not yet parsed: a head, the extensions of a chunk or
 // all trailers, and some bytes of what follows them. linger() reads 16 KiB.
 std::size_t max_unparsed_bytes(const http_server_options& options) {
@@ -139,6 +141,16 @@
   return true;
 }
 
+// A few bytes at a time are no progress.
+void http_connection::on_transfer(std::size_t bytes) {
+  transferred_bytes_ += bytes;
+  const auto server = server_.lock();
+  if (server && transferred_bytes_ >= min_progress_bytes) {
+    transferred_bytes_ = 0;
+    server->progress(id_);
+  }
+}
+
 void http_connection::refuse_for_memory() {
   refuse_request(make_problem(503, "out-of-memory"));
   if (const auto server = server_.lock()) {
--- a/src/net/http_connection_read.cc
+++ b/src/net/http_connection_read.cc
@@ -239,7 +239,8 @@
   reading_ = true;
   http::async_read_some(
       socket_, buffer_, *parser_,
-      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+      [self = shared_from_this()](error_code error, std::size_t bytes) {
+        self->on_transfer(bytes);
         if (self->end_read(error)) {
           self->read_body();
         }
--- a/src/net/http_connection_write.cc
+++ b/src/net/http_connection_write.cc
@@ -150,13 +150,13 @@
     return;
   }
   writing_ = true;
+  written_bytes_ = 0;
   start_timer(options_.write_timeout, &http_connection::close);
   asio::async_write(
       socket_, asio::buffer(queue_.front()),
       [self = shared_from_this()](error_code error, std::size_t written) {
-        if (const auto server = self->server_.lock(); server && written > 0) {
-          server->progress(self->id_);
-        }
+        self->on_transfer(written - self->written_bytes_);
+        self->written_bytes_ = written;
         return error ? 0 : max_write_bytes;
       },
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
--- a/test/buffer_budget-test.cc
+++ b/test/buffer_budget-test.cc
@@ -125,6 +125,35 @@
   BOOST_TEST(!budget.is_dispensable(2, now));
 }
 
+// A crowd of small requests that are sent steadily but slowly must not keep
+// ordinary ones out.
+BOOST_FIXTURE_TEST_CASE(small_request_takes_the_place_of_the_slowest_one,
+                        budget_of_8_mb) {
+  constexpr std::size_t small = 128U << 10U;
+  for (std::uint64_t id = 1; id <= 64; ++id) {
+    BOOST_TEST(grants(
+        id, small, id == 1 ? buffer_use::request : buffer_use::unread_request));
+    now += milliseconds(1);
+    budget.progress(2, now);
+  }
+  BOOST_TEST(!grants(100, 2 * small));
+  BOOST_TEST(grants(100, small));
+  BOOST_TEST(ended == ids{2}, boost::test_tools::per_element());
+  BOOST_TEST(grants(101, small));
+  BOOST_TEST(ended == ids{3}, boost::test_tools::per_element());
+}
+
+// Asking for the same again, as for each part of a body, is no progress.
+BOOST_FIXTURE_TEST_CASE(only_progress_keeps_a_large_body, budget_of_8_mb) {
+  BOOST_TEST(grants(1, 5 * megabyte));
+  for (int i = 0; i < 4; ++i) {
+    now += milliseconds(300);
+    BOOST_TEST(grants(1, 5 * megabyte));
+  }
+  BOOST_TEST(grants(2, 5 * megabyte));
+  BOOST_TEST(ended == ids{1}, boost::test_tools::per_element());
+}
+
 // A refusal must leave the asking connection's part as it was.
 BOOST_FIXTURE_TEST_CASE(a_refusal_changes_nothing, budget_of_8_mb) {
   BOOST_TEST(grants(1, 6 * megabyte));
--- a/test/gateway-client-memory-test.cc
+++ b/test/gateway-client-memory-test.cc
@@ -91,6 +91,11 @@
     });
   }
 
+  void run_for(std::chrono::seconds span) {
+    const auto end = std::chrono::steady_clock::now() + span;
+    run_until(loop, [&] { return std::chrono::steady_clock::now() >= end; });
+  }
+
   void check() {
     BOOST_REQUIRE(gateway->running());
     const long grown = memory_kb(gateway->pid(), "VmHWM:") - idle_kb;
@@ -210,6 +215,21 @@
   play({post(chunked) + chunk(10000) + "0\r\n\r\n"}, max_connections);
 }
 
+// The crowd goes on while the ordinary request comes.
+BOOST_FIXTURE_TEST_CASE(bodies_of_a_few_bytes_at_a_time, small_limits) {
+  for (const std::size_t part : {1, 600}) {
+    client_input input{post("Content-Length: 30000\r\n\r\n")};
+    input.part = std::string(part, 'x');
+    input.bytes = 30000;
+    input.pause = milliseconds(100);
+    const crowd running(loop, callers, 3 * crowd_size, input);
+    run_for(std::chrono::seconds(2));
+    check();
+    BOOST_TEST(call(callers, request_to("/l/x")).status == 200);
+  }
+  check_served();
+}
+
 BOOST_FIXTURE_TEST_CASE(pipelined_requests_without_reading, small_limits) {
   client_input input;
   for (int i = 0; i < 100; ++i) {
