--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -393,7 +393,8 @@
   };
   for (const std::string& each : fields) {
     for (const std::string& body : {inner, chunk}) {
-      check("POST / HTTP/1.1\r\nHost: a\r\n" + each + "\r\n\r\n" + body);
+      check(fmt::format("POST / HTTP/1.1\r\nHost: a\r\n{}\r\n\r\n{}", each,
+                        body));
     }
   }
   check("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
--- a/test/prompt_quarantine-test.cc
+++ b/test/prompt_quarantine-test.cc
@@ -420,6 +420,7 @@
       "a b",      "a\tb",  "\x7f",         std::string(65, 'a'),
       "r:0123456"};
   std::vector<prompt_part> prompt;
+  prompt.reserve(ids.size() + 1);
   for (const std::string& id : ids) {
     prompt.push_back({id, 1});
   }
