Bound what the ports for readiness and operators keep

Bodies that stay open at the port for readiness, or at that for operators, were kept without a limit on their sum: 60 of 960 KB took a gateway 64 MB and 65 MB over its idle size. Readiness has no bodies now, 64 connections and a budget of 2 MB; operators have a budget like that of callers. open_bodies_at_other_ports: 744 and 3492 KB now, 12.3 MB allowed.

--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -31,6 +31,9 @@
 constexpr int status_not_found = 404;
 // Large enough for an operator's configuration with several hundred routes.
 constexpr std::size_t max_configuration_bytes = 16U << 20U;
+// Load balancers ask for readiness once a second, without a body.
+constexpr std::size_t max_readiness_connections = 64;
+constexpr std::size_t max_readiness_bytes = 2U << 20U;
 // What forwarding keeps of a request: its state, the head that is sent, a
 // connection to a server and its buffers.
 constexpr std::size_t request_state_bytes = 16U << 10U;
@@ -318,6 +321,9 @@
   startup_queue_.start(runtime_clock::now());
   http_server_options readiness_options;
   readiness_options.listen = process_.options.gateway.readiness;
+  readiness_options.max_connections = max_readiness_connections;
+  readiness_options.max_body_bytes = 0;
+  readiness_options.max_buffered_bytes = max_readiness_bytes;
   absl::Status started = listen(
       readiness_, "readiness", readiness_options,
       [this](const http_request& request,
@@ -333,6 +339,8 @@
   http_server_options operator_options;
   operator_options.listen = process_.options.gateway.operators;
   operator_options.max_body_bytes = max_configuration_bytes;
+  operator_options.max_buffered_bytes =
+      max_buffered_bytes(process_.options.limits);
   started = listen(operators_, "operators", operator_options,
                    make_operator_handler(codec_, cluster_, evacuations_));
   if (!started.ok()) {
--- a/test/gateway-client-memory-test.cc
+++ b/test/gateway-client-memory-test.cc
@@ -194,6 +194,21 @@
   play(chunks);
 }
 
+BOOST_FIXTURE_TEST_CASE(open_bodies_at_other_ports, small_limits) {
+  client_input input{"POST /-/Config.Put HTTP/1.1\r\nHost: a\r\n" + chunked};
+  input.part = chunk(16U << 10U);
+  input.bytes = 60 * input.part.size();
+  for (const std::string& port : {readiness, operators}) {
+    auto running = std::make_unique<crowd>(loop, port, crowd_size, input);
+    watch(*running);
+    check();
+    running.reset();
+    wait_until_ready();
+    BOOST_TEST(run_until(loop, [&] { return publish(2).status == 200; }));
+  }
+  check_served();
+}
+
 BOOST_FIXTURE_TEST_CASE(heads_without_end, small_limits) {
   play({post("X-Field: " + std::string(15000, 'x'))}, 4 * crowd_size);
 }
