Count a response once, by what it takes

A large response was counted at twice its size until it was written, as the reservation before queueing it stood for the growth of joined parts. Four instead of eight responses of 4 MB fitted into the budget of a small machine. The reservation is now the size, and the queue counts as allocated afterwards (response_counts_by_its_size).

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -2,7 +2,6 @@
 
 #include <absl/strings/str_join.h>
 #include <fmt/format.h>
-
 #include <sys/resource.h>
 
 #include <algorithm>
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+// Less is no progress, so that a client that sends or reads a few bytes at a
+// time counts as stalled.
 constexpr std::size_t min_progress_bytes = 4U << 10U;
 
 // Limit on bytes read but not yet parsed: a head, the extensions of a chunk or
@@ -104,8 +106,8 @@
   }
 }
 
-// Returns what the connection holds with so much of a request. A head is read
-// in one operation, within which the buffer grows.
+// Returns what the connection takes with so much of a request. The buffer grows
+// within the operation that reads a head, so it counts by its limit.
 std::size_t http_connection::held_bytes(std::size_t request_bytes) const {
   std::size_t buffer =
       phase_ == phase::reading ? buffer_.max_size() : buffer_.capacity();
@@ -115,7 +117,7 @@
   return connection_bytes + buffer + request_bytes + queue_memory_;
 }
 
-// Changes what is held of the request. The bytes of the queue count, too.
+// Changes what is held of the request, and counts the rest as it is now.
 bool http_connection::hold(std::size_t request_bytes, buffer_use use) {
   const auto server = server_.lock();
   // A refusal fits into what the connection takes by itself.
@@ -141,7 +143,6 @@
   return true;
 }
 
-// A few bytes at a time are no progress.
 void http_connection::on_transfer(std::size_t bytes) {
   transferred_bytes_ += bytes;
   const auto server = server_.lock();
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -194,19 +194,19 @@
   phase phase_ = phase::idle;
   std::uint64_t request_number_ = 0;
   bool keep_alive_ = true;
-  bool refused_ = false;               ///< the request was not read completely
-  bool chunked_allowed_ = true;        ///< the client knows chunked streams
-  bool delimited_by_close_ = false;    ///< the response, and it is incomplete
-  bool response_queued_ = false;       ///< the complete response is queued
-  bool overflowed_ = false;            ///< the client reads too slowly
-  std::size_t transferred_bytes_ = 0;  ///< since the last progress
-  std::size_t written_bytes_ = 0;      ///< of the first entry of the queue
-  bool reading_ = false;               ///< a pending read uses buffer_, parser_
+  bool refused_ = false;             ///< the request was not read completely
+  bool chunked_allowed_ = true;      ///< the client knows chunked streams
+  bool delimited_by_close_ = false;  ///< the response, and it is incomplete
+  bool response_queued_ = false;     ///< the complete response is queued
+  bool overflowed_ = false;          ///< the client reads too slowly
+  bool reading_ = false;             ///< a pending read uses buffer_, parser_
   bool writing_ = false;
   bool watching_ = false;
   std::deque<std::string> queue_;
   std::size_t queued_bytes_ = 0;
-  std::size_t queue_memory_ = 0;  ///< that the queued bytes take
+  std::size_t queue_memory_ = 0;       ///< that the queued bytes take
+  std::size_t written_bytes_ = 0;      ///< of the first entry of the queue
+  std::size_t transferred_bytes_ = 0;  ///< since the last progress
   std::shared_ptr<std::size_t> total_queued_bytes_;
   std::function<void()> on_closed_;
   boost::system::error_code ignored_;
--- a/src/net/http_connection_write.cc
+++ b/src/net/http_connection_write.cc
@@ -111,8 +111,7 @@
   const bool too_much = queued_bytes_ + bytes > options_.max_queued_bytes ||
                         (behind && *total_queued_bytes_ + bytes >
                                        options_.max_total_queued_bytes);
-  // An upper bound of what append() takes.
-  const std::size_t memory = 2 * bytes + queued_part_bytes;
+  const std::size_t memory = bytes + queued_part_bytes;
   queue_memory_ += memory;
   const bool fits = (response_queued_ || !too_much) &&
                     hold(request_bytes_, buffer_use::response);
@@ -137,6 +136,9 @@
     queue_memory_ += queued_part_bytes;
   }
   queue_memory_ += memory_of(queue_.back());
+  // Joined parts may take a little more than was reserved. If that can't be
+  // granted, it counts with the next part.
+  hold(request_bytes_, buffer_use::response);
   if (!writing_) {
     write_next();
   }
--- a/test/http_limits-test.cc
+++ b/test/http_limits-test.cc
@@ -246,3 +246,19 @@
   // Short bodies too, so that their connections are kept.
   BOOST_TEST(status_of(with_length(1000)) == 200);
 }
+
+// A response counts once, at what it takes.
+BOOST_FIXTURE_TEST_CASE(response_counts_by_its_size, limited_server) {
+  std::size_t held = 0;
+  http_server counting(
+      loop, options,
+      [&](const http_request& /*in*/, std::unique_ptr<http_exchange> exchange) {
+        exchange->respond(reply(200, std::string(4 * megabyte, 'y')));
+        held = counting.buffered_bytes();
+      });
+  const auto reader = std::make_shared<client>(loop, head(""));
+  reader->start(fmt::format("127.0.0.1:{}", counting.listen().value()));
+  BOOST_TEST(status_of(*reader) == 200);
+  BOOST_TEST(held > 4 * megabyte);
+  BOOST_TEST(held < 4 * megabyte + (64U << 10U));
+}
