Limits on clients: wording, names and tests after a second reading

No behaviour is changed. Texts of the settings without broken lines; the limits of the other ports and of stalled connections stand in the docs; a comment named a reader of the buffer that is gone; end_for_another and clear say what they end and clear.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -42,7 +42,8 @@
   std::int64_t max_descriptors = 0;
   std::int64_t max_header_bytes = 16384;
   std::int64_t max_body_bytes = 1048576;
-  /// Of all requests and responses that a gateway holds; 0: derived, see
+  /// Of all connections, requests and responses that a gateway holds for
+  /// callers; 0: derived, see
   /// max_buffered_bytes().
   std::int64_t max_buffered_bytes = 0;
   double memory_mb = 0;             ///< of the VM; 0: not known
@@ -59,9 +60,9 @@
                   read_timeout_ms, idle_timeout_ms, write_timeout_ms,
                   drain_timeout_ms)
 
-/// Returns how many callers may be connected to a gateway: as set, and so many
-/// that a connection to a server for each of them, files and other processes
-/// find descriptors. At least 1.
+/// Returns how many callers may be connected to a gateway: as set, but no more
+/// than leave descriptors for a connection to a server for each of them and for
+/// the process itself. At least 1. Thread-safe.
 std::size_t max_caller_connections(const limit_settings& in);
 
 /// Returns the memory that a gateway may use for requests that are not answered
--- a/src/base/settings_fields.cc
+++ b/src/base/settings_fields.cc
@@ -80,15 +80,15 @@
        "Time for which a draining process still accepts connections, so that "
        "load balancers can notice the drain."},
       {"/limits/max_connections", type::positive_integer, false, "connections",
-       "Maximum number of open connections from callers. Beyond it, idle ones "
-       "are closed for new ones; if there is none, new ones get 503."},
+       "Maximum number of open connections from callers. Beyond it, idle and "
+       "stalled ones give way to new ones; if there is none, new ones get "
+       "503."},
       {"/limits/max_descriptors", type::non_negative_integer, false,
        "descriptors",
        "Descriptors that the process may open. A gateway keeps a quarter of "
-       "them, 300 at most, for its own use and accepts connections from "
-       "callers "
-       "for half of the rest, so that each finds one for a connection to a "
-       "server. 0: the limit of the operating system (RLIMIT_NOFILE)."},
+       "them, 300 at most, for its own use. Connections from callers get half "
+       "of the rest, so that one is left for each connection to a server. 0: "
+       "the limit of the operating system (RLIMIT_NOFILE)."},
       {"/limits/max_header_bytes", type::positive_integer, false, "bytes",
        "Maximum size of the headers of one request, of its trailers, and of "
        "all "
@@ -99,11 +99,10 @@
        "Maximum memory for connections from callers, for the requests that a "
        "gateway receives or has not answered and for responses that callers "
        "have not read, so that clients outside the limits can't exhaust the "
-       "VM. "
-       "Beyond it, clients without progress for 1 s are refused or closed, "
-       "then "
-       "idle connections are closed, then new requests get 503. 0: "
-       "three eighths of /limits/memory_mb, or 32 MiB without it. At least two "
+       "VM. Beyond it, clients without progress for 1 s are refused or "
+       "closed, then idle connections are closed, then new requests get 503. "
+       "The port for operators has a budget of the same size. 0: three "
+       "eighths of /limits/memory_mb, or 32 MiB without it. At least two "
        "bodies of the maximum size."},
       {"/limits/memory_mb", type::non_negative_number, false, "MB",
        "Memory of the VM that a gateway runs on. 0: not known."},
--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -205,11 +205,11 @@
   return out;
 }
 
-// Drops the suspects of one end after the other that are the least likely
-// cause, until there is room for so many more: parts that were answered since,
-// then parts that were answered before, then parts that are suspects of no
-// other end. A part that ends servers again and again is none of these. Returns
-// the number of those dropped.
+// Drops suspects, one end after the other, until there is room for `missing`
+// more. The least likely causes go first: parts that were answered since, then
+// parts that were answered before, then parts that are suspects of no other
+// end. A part that ends servers again and again is none of these. Returns the
+// number of dropped suspects.
 std::size_t prompt_quarantine::make_room(std::size_t missing,
                                          const part_counts& counts) {
   using set_member = std::set<std::string> server_end::*;
@@ -431,10 +431,10 @@
   ++known.answers;
 }
 
-// Clears the suspects among these parts. Takes time in proportion to the
-// smaller of both. Precondition: `answered` is sorted.
-bool prompt_quarantine::clear(server_end& end,
-                              const std::vector<std::string>& answered) {
+// Clears the suspects of an end that were answered. Searches the larger of both
+// sets for each part of the smaller one. Precondition: `answered` is sorted.
+bool prompt_quarantine::clear_answered(
+    server_end& end, const std::vector<std::string>& answered) {
   bool changed = false;
   if (end.suspects.size() < answered.size()) {
     for (const std::string& part : end.suspects) {
@@ -463,7 +463,7 @@
       ends_.empty() ? std::vector<std::string>() : sorted(parts);
   for (server_end& each : ends_) {
     if (each.at < began_at) {
-      changed = clear(each, answered) || changed;
+      changed = clear_answered(each, answered) || changed;
     }
   }
   changed = release_answered(parts, began_at, now) || changed;
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -240,7 +240,8 @@
   bool add_suspects(server_end& end, const std::vector<std::string>& parts);
   part_counts count_suspects() const;
   std::size_t make_room(std::size_t missing, const part_counts& counts);
-  static bool clear(server_end& end, const std::vector<std::string>& answered);
+  static bool clear_answered(server_end& end,
+                             const std::vector<std::string>& answered);
   bool annotate(server_end& end);
   duration span(const quarantine& of) const;
   bool holds(const quarantine& of, time_point now) const;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -35,10 +35,10 @@
   return request.shared_body ? *request.shared_body : request.body;
 }
 
-/// Returns the memory that a string takes beside the object itself, as the
-/// allocator counts it.
+/// Returns the bytes of the heap that a string takes beside the object itself.
+/// Thread-safe.
 std::size_t memory_of(const std::string& text);
-/// The same of a request, `shared_body` included.
+/// The same of a request, `shared_body` included. Thread-safe.
 std::size_t memory_of(const http_request& request);
 
 /// Returns the value of the first header `name`, or "". Case-insensitive.
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -18,7 +18,8 @@
 constexpr std::size_t min_progress_bytes = 4U << 10U;
 
 // Limit on bytes read but not yet parsed: a head, the extensions of a chunk or
-// all trailers, and some bytes of what follows them. linger() reads 16 KiB.
+// all trailers, and some bytes of what follows them. Long bodies are read by
+// 16 KiB.
 std::size_t max_unparsed_bytes(const http_server_options& options) {
   constexpr std::size_t margin = 4U << 10U;
   constexpr std::size_t min_limit = 16U << 10U;
@@ -117,7 +118,8 @@
   return connection_bytes + buffer + request_bytes + queue_memory_;
 }
 
-// Changes what is held of the request, and counts the rest as it is now.
+// Reserves so many bytes for the request, beside what the connection takes now.
+// Returns false, and changes nothing, if there is no memory for them.
 bool http_connection::hold(std::size_t request_bytes, buffer_use use) {
   const auto server = server_.lock();
   // A refusal fits into what the connection takes by itself.
@@ -131,7 +133,7 @@
   return held;
 }
 
-bool http_connection::end_for_another() {
+bool http_connection::end_for_new_connection() {
   if (phase_ == phase::idle) {
     close_if_idle();
     return phase_ == phase::closed;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -117,9 +117,10 @@
   void close();
   /// Stays open if a request has already arrived.
   void close_if_idle();
-  /// Closes the connection if it is idle; refuses a request that is being
-  /// received. Returns false if there is nothing to end.
-  bool end_for_another();
+  /// Closes an idle connection, or refuses a request that is being received,
+  /// since the server has too many connections. Returns false, and changes
+  /// nothing, in any other state.
+  bool end_for_new_connection();
   /// Refuses a request that has not been read completely.
   void refuse_unread();
   /// Refuses the request that is being received or closes the connection, since
--- a/src/net/http_connection_read.cc
+++ b/src/net/http_connection_read.cc
@@ -110,7 +110,7 @@
   phase_ = phase::reading;
   start_timer(options_.read_timeout, &http_connection::read_expired);
   extension_bytes_ = 0;
-  // A head is parsed once it is complete.
+  // Reserves the buffer: a head is parsed once it is complete.
   if (!hold(0, buffer_use::unread_request)) {
     refuse_for_memory();
     return;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -109,7 +109,7 @@
       continue;
     }
     const auto next = found->second;
-    if (next->end_for_another()) {
+    if (next->end_for_new_connection()) {
       return true;
     }
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,8 +21,8 @@
 
 struct http_server_options {
   std::string listen = "127.0.0.1:0";
-  /// Beyond it, a connection that has been idle is closed for a new one. If
-  /// there is none, the new one is refused.
+  /// Beyond it, an idle or stalled connection is ended for a new one. If there
+  /// is none, the new one is refused.
   std::size_t max_connections = 4096;
   /// Of the head, and also of the chunk extensions of a body, all together, and
   /// of its trailers.
--- a/test/gateway-client-memory-test.cc
+++ b/test/gateway-client-memory-test.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -61,9 +62,11 @@
     low.rlim_cur = descriptors;
     BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &low) == 0);
   }
-  void restore() const {
-    BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &usual) == 0);
-  }
+  ~few_descriptors() { restore(); }
+  few_descriptors(const few_descriptors&) = delete;
+  few_descriptors& operator=(const few_descriptors&) = delete;
+
+  void restore() const { BOOST_TEST(::setrlimit(RLIMIT_NOFILE, &usual) == 0); }
 
   static constexpr rlim_t descriptors = 200;
   rlimit usual{};
@@ -81,19 +84,23 @@
     idle_kb = memory_kb(gateway->pid(), "VmRSS:");
   }
 
-  void watch(crowd& running, std::chrono::seconds span = play_time) {
+  // Runs the loop and `each_turn` while the gateway runs.
+  void watch(std::chrono::seconds span,
+             const std::function<void()>& each_turn = {}) {
     const auto end = std::chrono::steady_clock::now() + span;
     run_until(loop, [&] {
       most_descriptors =
           std::max(most_descriptors, open_descriptors(gateway->pid()));
-      running.replace_ended();
+      if (each_turn) {
+        each_turn();
+      }
       return !gateway->running() || std::chrono::steady_clock::now() >= end;
     });
   }
 
-  void run_for(std::chrono::seconds span) {
-    const auto end = std::chrono::steady_clock::now() + span;
-    run_until(loop, [&] { return std::chrono::steady_clock::now() >= end; });
+  // Lets a new client come for each one that has ended.
+  void watch(crowd& running, std::chrono::seconds span = play_time) {
+    watch(span, [&] { running.replace_ended(); });
   }
 
   void check() {
@@ -238,7 +245,7 @@
     input.bytes = 30000;
     input.pause = milliseconds(100);
     const crowd running(loop, callers, 3 * crowd_size, input);
-    run_for(std::chrono::seconds(2));
+    watch(std::chrono::seconds(2));
     check();
     BOOST_TEST(call(callers, request_to("/l/x")).status == 200);
   }
--- a/test/hostile_clients.h
+++ b/test/hostile_clients.h
@@ -1,4 +1,5 @@
-// Clients that send what no sound client sends, and processes' use of memory.
+// Clients that send more than the limits allow or never finish, and the memory
+// and descriptors that a process uses meanwhile.
 #ifndef CITRONWHARF_TEST_HOSTILE_CLIENTS_H_
 #define CITRONWHARF_TEST_HOSTILE_CLIENTS_H_
 
