Exchange a seat of the group in one change of the log

What callers saw: a control machine is lost, and its successor right when it has become a voter.

Cause: the successor was promoted first, and the lost member removed by a later step, up to 200 ms later. In between three votes of four are needed, one of which is lost already. The same holds for a member that is stopped and for one that lost its disk.

Change: a learner names the voter that it replaces. While both are in the list, elections and commits need a majority of the voters without the one and without the other (joint consensus), so the loss of either changes nothing. The seat is not taken while another voter doesn't answer and the learner would be needed; a lost member's seat goes before that of one that leaves.

--- a/src/control/freshness.h
+++ b/src/control/freshness.h
@@ -26,9 +26,10 @@
 ///
 /// A committed change is in the synced log of a majority of voters. So if a
 /// majority polled at time t has nothing newer than the process's version, no
-/// newer version was committed before t, and the lease starts at t. Membership
-/// changes by one replica at a time, so majorities of consecutive groups
-/// overlap too; answers that name different groups need a majority of each.
+/// newer version was committed before t, and the lease starts at t. Consecutive
+/// groups differ by one replica (while a voter takes over a seat, both count),
+/// so their majorities overlap too; answers that name different groups need a
+/// majority of each.
 class freshness {
  public:
   explicit freshness(duration lease) : lease_(lease) {}
--- a/src/control/group_manager.cc
+++ b/src/control/group_manager.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "control/log_members.h"
+
 namespace citronwharf {
 namespace {
 
@@ -100,20 +102,20 @@
              options_.repair_time - replacement_time;
 }
 
+bool group_manager::leaves(const replica_member& member, time_point now) const {
+  if (member.process == options_.process) {
+    return leaves_;
+  }
+  const auto report = leaving_.find(member.id);
+  return report != leaving_.end() && now - report->second < leaving_lifetime;
+}
+
 std::string group_manager::replacement_reason(const replica_member& member,
                                               time_point now) const {
-  const auto report = leaving_.find(member.id);
-  const bool own = member.process == options_.process;
-  const bool leaves =
-      own ? leaves_
-          : report != leaving_.end() && now - report->second < leaving_lifetime;
-  if (leaves) {
-    return member.process + " leaves";
-  }
-  if (!own && is_lost(member.process, now)) {
+  if (member.process != options_.process && is_lost(member.process, now)) {
     return member.process + " is lost";
   }
-  return "";
+  return leaves(member, now) ? member.process + " leaves" : "";
 }
 
 std::optional<group_step> group_manager::next_step(const group_state& state,
@@ -152,6 +154,9 @@
       lost_sessions_.emplace(member.process, lost_session{now, now});
     }
   }
+  if (seat_changes_hands(state.members)) {
+    return std::nullopt;  // the log completes this by itself
+  }
   drop_candidates(state, now);
   const auto learner =
       std::find_if(state.members.begin(), state.members.end(),
@@ -180,33 +185,56 @@
   if (!reason.empty()) {
     return remove_member_step{learner.id, reason};
   }
-  const auto own = candidates_.find(process);
-  if (own != candidates_.end()) {
-    const candidate& request = own->second;
-    return add_member_step{{request.replica, process, request.address, false},
-                           "its disk is lost"};
-  }
-  if (!candidates_.empty() && state.silent.count(learner.id) != 0) {
+  const bool disk_lost = candidates_.count(process) != 0;
+  const bool others_wait = candidates_.size() > (disk_lost ? 1 : 0);
+  if (others_wait && state.silent.count(learner.id) != 0) {
     return remove_member_step{learner.id, process + " does not answer"};
   }
-  return std::nullopt;
+  const auto seat = find_seat(state, process, now);
+  if (!seat) {
+    return std::nullopt;
+  }
+  replica_member changed = learner;
+  changed.replaces = seat->replaces;
+  if (disk_lost) {
+    const candidate& request = candidates_.at(process);
+    changed.id = request.replica;
+    changed.address = request.address;
+  }
+  if (changed == learner) {
+    return std::nullopt;
+  }
+  return add_member_step{std::move(changed), seat->reason};
 }
 
-// Returns why a process that asks with an unknown replica id may join, or "".
-std::string group_manager::admission_reason(const group_state& state,
-                                            const std::string& process,
-                                            time_point now) const {
-  std::string reason;
+// Returns the seat that a process may take: its own one if it lost its disk, or
+// else one that is free, or that of a member that is lost or leaves. A seat
+// that is lost goes first, since the group has no member for it.
+std::optional<group_manager::vacant_seat> group_manager::find_seat(
+    const group_state& state, const std::string& process,
+    time_point now) const {
+  std::optional<vacant_seat> lost;
+  std::optional<vacant_seat> leaving;
   for (const replica_member& member : state.members) {
+    if (!member.voter) {
+      continue;
+    }
     if (member.process == process) {
-      return "its disk is lost";
+      return vacant_seat{member.id, "its disk is lost"};
     }
+    const std::string reason = replacement_reason(member, now);
     if (reason.empty()) {
-      reason = replacement_reason(member, now);
+      continue;
     }
+    auto& found = is_lost(member.process, now) ? lost : leaving;
+    if (!found) {
+      found = vacant_seat{member.id, reason};
+    }
+  }
+  if (count_voters(state.members) < target_members()) {
+    return vacant_seat{"", "vacancy"};
   }
-  const bool has_vacancy = count_voters(state.members) < target_members();
-  return has_vacancy ? "vacancy" : reason;
+  return lost ? lost : leaving;
 }
 
 void group_manager::drop_candidates(const group_state& state, time_point now) {
@@ -223,23 +251,23 @@
     const group_state& state, time_point now) {
   // The one that asked last is the most likely to be still up.
   auto chosen = candidates_.end();
-  std::string reason;
+  std::optional<vacant_seat> chosen_seat;
   for (auto each = candidates_.begin(); each != candidates_.end(); ++each) {
     const bool newer = chosen == candidates_.end() ||
                        each->second.requested_at > chosen->second.requested_at;
-    std::string own_reason =
-        newer ? admission_reason(state, each->first, now) : "";
-    if (!own_reason.empty()) {
+    auto seat = newer ? find_seat(state, each->first, now) : std::nullopt;
+    if (seat) {
       chosen = each;
-      reason = std::move(own_reason);
+      chosen_seat = std::move(seat);
     }
   }
-  if (chosen == candidates_.end()) {
+  if (!chosen_seat) {
     return std::nullopt;
   }
   const auto& [process, request] = *chosen;
-  add_member_step step{{request.replica, process, request.address, false},
-                       std::move(reason)};
+  add_member_step step{
+      {request.replica, process, request.address, false, chosen_seat->replaces},
+      chosen_seat->reason};
   candidates_.erase(chosen);
   return step;
 }
--- a/src/control/group_manager.h
+++ b/src/control/group_manager.h
@@ -53,7 +53,7 @@
 struct announce_leave_step {
   std::string leader;
 };
-/// Adds a learner; leader only.
+/// Adds a learner, or changes which voter it is to replace; leader only.
 struct add_member_step {
   replica_member member;
   std::string reason;  ///< for the log
@@ -117,6 +117,12 @@
     time_point requested_at;
   };
 
+  // A place for another voter.
+  struct vacant_seat {
+    std::string replaces;  // replica id of the voter that has it, or ""
+    std::string reason;    // for the log
+  };
+
   bool should_create_group() const;
   std::optional<group_step> next_leader_step(const group_state& state,
                                              time_point now);
@@ -127,12 +133,13 @@
                                            time_point now);
   void drop_candidates(const group_state& state, time_point now);
   bool is_lost(const std::string& process, time_point now) const;
+  bool leaves(const replica_member& member, time_point now) const;
   /// Returns why another process may take the place of a member, or "".
   std::string replacement_reason(const replica_member& member,
                                  time_point now) const;
-  std::string admission_reason(const group_state& state,
-                               const std::string& process,
-                               time_point now) const;
+  std::optional<vacant_seat> find_seat(const group_state& state,
+                                       const std::string& process,
+                                       time_point now) const;
 
   group_manager_options options_;
   std::map<std::string, candidate> candidates_;  // by process name
--- a/src/control/log_election.cc
+++ b/src/control/log_election.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "control/log_members.h"
 #include "control/replicated_log.h"
 
 namespace citronwharf {
@@ -31,13 +32,7 @@
 }
 
 bool replicated_log::majority(const std::set<std::string>& ids) const {
-  std::size_t voters = 0;
-  std::size_t present = 0;
-  for (const replica_member& member : members()) {
-    voters += member.voter ? 1 : 0;
-    present += member.voter && ids.count(member.id) != 0 ? 1 : 0;
-  }
-  return present * 2 > voters;
+  return is_majority(members(), ids);
 }
 
 // A replica that is in contact with a leader grants no votes, so that a
--- a/src/control/log_membership.cc
+++ b/src/control/log_membership.cc
@@ -1,5 +1,6 @@
 // Membership of the replicated log: one change at a time. A new member is a
-// learner until it holds all committed entries.
+// learner until it holds all committed entries. Then it takes a seat that is
+// free, or in two steps that of another voter (joint consensus).
 #include <fmt/format.h>
 #include <glog/logging.h>
 
@@ -80,10 +81,7 @@
   if (!allowed.ok()) {
     return allowed;
   }
-  if (find_member(member.id) != nullptr) {
-    return absl::AlreadyExistsError(
-        fmt::format("replica {} is a member", member.id));
-  }
+  member.voter = false;
   std::vector<replica_member> changed;
   std::set<std::string> voting_processes;
   for (const replica_member& old : members()) {
@@ -98,9 +96,20 @@
       return absl::FailedPreconditionError(
           "another change of members is under way");
     }
+    if (old.process == member.process) {
+      member.replaces = old.id;
+    }
     changed.push_back(old);
   }
-  member.voter = false;
+  const replica_member* known = find_member(member.id);
+  if (known != nullptr && (known->voter || *known == member)) {
+    return absl::AlreadyExistsError(
+        fmt::format("replica {} is a member", member.id));
+  }
+  if (!member.replaces.empty() && !is_voter(member.replaces)) {
+    return absl::NotFoundError(
+        fmt::format("no voter {} to replace", member.replaces));
+  }
   const std::string id = member.id;
   changed.push_back(std::move(member));
   propose_members(changed);
@@ -132,9 +141,8 @@
   return absl::OkStatus();
 }
 
-// Takes the next step of a change: promotes a learner that holds all committed
-// entries, then removes the older replica of the same process. A leader that is
-// no longer a member keeps leading until its removal is committed.
+// Takes the next step of a change. A leader that is no longer a member keeps
+// leading until its removal is committed.
 void replicated_log::advance_membership(time_point now) {
   if (!check_change().ok()) {
     return;
@@ -143,16 +151,86 @@
     become_follower(now, state_.term);
     return;
   }
+  if (!complete_exchange() && !promote_learner(now)) {
+    remove_replaced_replica();
+  }
+}
+
+// Removes the voter whose seat is taken over, once both majorities hold the
+// list with the two.
+bool replicated_log::complete_exchange() {
+  if (!seat_changes_hands(members())) {
+    return false;
+  }
+  std::set<std::string> replaced;
+  std::vector<replica_member> changed = members();
+  for (replica_member& member : changed) {
+    if (member.voter && !member.replaces.empty()) {
+      replaced.insert(std::exchange(member.replaces, ""));
+    }
+  }
+  changed.erase(std::remove_if(changed.begin(), changed.end(),
+                               [&](const replica_member& member) {
+                                 return replaced.count(member.id) != 0;
+                               }),
+                changed.end());
+  propose_members(changed);
+  return true;
+}
+
+bool replicated_log::promote_learner(time_point now) {
   std::vector<replica_member> changed = members();
   for (replica_member& member : changed) {
     const auto found = progress_.find(member.id);
-    if (!member.voter && found != progress_.end() &&
-        found->second.match >= commit_index_) {
+    if (member.voter || found == progress_.end() ||
+        found->second.match < commit_index_ || !may_take_seat(now, member)) {
+      continue;
+    }
+    member.voter = true;
+    if (!is_voter(member.replaces)) {
+      member.replaces.clear();
+    }
+    propose_members(changed);
+    return true;
+  }
+  return false;
+}
+
+// Returns whether the group could go on if the learner were lost as soon as it
+// votes, also without the member that it replaces. If all others answer, that
+// is as good as it gets: a group of one or two can't go on without any of them.
+bool replicated_log::may_take_seat(time_point now,
+                                   const replica_member& learner) const {
+  if (!is_voter(learner.replaces)) {
+    return true;
+  }
+  std::vector<replica_member> promoted = members();
+  std::set<std::string> answering;
+  std::size_t others = 0;
+  for (replica_member& member : promoted) {
+    if (member.id == learner.id) {
       member.voter = true;
-      propose_members(changed);
-      return;
+    } else if (member.voter && member.id != learner.replaces) {
+      ++others;
+      if (answers(now, member.id)) {
+        answering.insert(member.id);
+      }
     }
   }
+  return answering.size() == others || is_majority(promoted, answering);
+}
+
+// Returns whether a member has answered this leader, and lately.
+bool replicated_log::answers(time_point now, const std::string& id) const {
+  const auto found = progress_.find(id);
+  return id == options_.id ||
+         (found != progress_.end() && found->second.match >= term_start_ &&
+          now - found->second.heard < options_.election_max);
+}
+
+// Logs of earlier versions may hold two voters of a process.
+void replicated_log::remove_replaced_replica() {
+  std::vector<replica_member> changed = members();
   for (auto old = changed.begin(); old != changed.end(); ++old) {
     const bool replaced =
         std::any_of(old + 1, changed.end(), [&](const replica_member& newer) {
--- a/src/control/log_replication.cc
+++ b/src/control/log_replication.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <utility>
 
+#include "control/log_members.h"
 #include "control/replicated_log.h"
 
 namespace citronwharf {
@@ -85,24 +86,29 @@
   send(to.process, std::move(out));
 }
 
-void replicated_log::advance_commit() {
+// Returns the highest index that a majority of the voters hold on their disks.
+std::uint64_t replicated_log::held_by_majority(const voter_set& voters) const {
   std::vector<std::uint64_t> held;
-  for (const replica_member& member : members()) {
-    if (!member.voter) {
-      continue;
-    }
-    const auto found = progress_.find(member.id);
-    if (member.id == options_.id) {
+  for (const replica_member* member : voters) {
+    const auto found = progress_.find(member->id);
+    if (member->id == options_.id) {
       held.push_back(stable_index_);
     } else {
       held.push_back(found == progress_.end() ? 0 : found->second.match);
     }
   }
   if (held.empty()) {
-    return;
+    return 0;
   }
   std::sort(held.begin(), held.end(), std::greater<>());
-  const std::uint64_t index = held[held.size() / 2];
+  return held[held.size() / 2];
+}
+
+void replicated_log::advance_commit() {
+  std::uint64_t index = log_.last_index();
+  for (const voter_set& voters : voter_sets(members())) {
+    index = std::min(index, held_by_majority(voters));
+  }
   // An entry of an older term is committed only through an entry of the current
   // term.
   if (index > commit_index_ && log_.term_at(index) == state_.term) {
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -391,6 +391,9 @@
   for (const replica_member& member : action.members) {
     text += fmt::format("{}{} {} {}", text.empty() ? "" : ", ", member.process,
                         member.id, member.voter ? "voter" : "learner");
+    if (!member.replaces.empty()) {
+      text += " replacing " + member.replaces;
+    }
     if (member.process != environment_.options.process &&
         has_port(member.address)) {
       environment_.peers.connect(member.process, member.address);
--- a/src/control/replicated_log.h
+++ b/src/control/replicated_log.h
@@ -18,6 +18,7 @@
 
 #include "base/clock.h"
 #include "control/log_entries.h"
+#include "control/log_members.h"
 #include "wire/log_messages.h"
 
 namespace citronwharf {
@@ -128,9 +129,14 @@
   void take_snapshot(std::string state);
 
   /// Adds a learner, which is promoted to voter automatically once it holds
-  /// all committed entries; an older replica of the same process is then
-  /// removed. Returns Unavailable if not the leader, FailedPrecondition while
-  /// another change is in progress and AlreadyExists for a member.
+  /// all committed entries. If it `replaces` a voter, or one has its process,
+  /// the two then exchange the seat: both majorities, with the one and with the
+  /// other, are needed until the old voter is removed, so the loss of either
+  /// changes nothing. The seat is not taken while a loss of the learner would
+  /// leave no majority of members that answer. A call for a learner with
+  /// another `replaces` changes that. Returns Unavailable if not the leader,
+  /// FailedPrecondition while another change is in progress, AlreadyExists for
+  /// a member and NotFound if the voter to replace does not exist.
   absl::Status add_learner(time_point now, replica_member member);
   /// Removes a member. Returns NotFound if there is no such member; other
   /// errors as for add_learner().
@@ -235,6 +241,7 @@
   void replicate(time_point now);
   void send_append(time_point now, const replica_member& to,
                    follower_progress& progress, bool with_entries);
+  std::uint64_t held_by_majority(const voter_set& voters) const;
   void advance_commit();
   void handle(time_point now, const std::string& from,
               const append_request& in);
@@ -254,6 +261,11 @@
   absl::Status check_change() const;
   void propose_members(const std::vector<replica_member>& members);
   void advance_membership(time_point now);
+  bool complete_exchange();
+  bool promote_learner(time_point now);
+  bool may_take_seat(time_point now, const replica_member& learner) const;
+  bool answers(time_point now, const std::string& id) const;
+  void remove_replaced_replica();
   void members_changed();
   void read_members(const log_entry& entry);
   const replica_member* find_member(const std::string& id) const;
--- a/src/wire/log_messages.h
+++ b/src/wire/log_messages.h
@@ -19,8 +19,11 @@
   std::string process;  ///< process name, for the peer session
   std::string address;  ///< "ip:port" for peers
   bool voter = false;   ///< false: a learner, which does not vote
+  /// Replica id of the voter whose seat this member takes over, or "". While
+  /// both vote, every decision needs a majority with and without either.
+  std::string replaces = {};
 };
-CITRONWHARF_VALUE(replica_member, id, process, address, voter)
+CITRONWHARF_VALUE_ADDING(replica_member, replaces, id, process, address, voter)
 
 /// Opaque bytes, encoded as a CBOR byte string on the wire and on disk.
 struct byte_block {
--- a/test/group_keeper-test.cc
+++ b/test/group_keeper-test.cc
@@ -36,8 +36,9 @@
   return {id, process, process + ":7600", true};
 }
 
-replica_member learner(const std::string& id, const std::string& process) {
-  return {id, process, process + ":7600", false};
+replica_member learner(const std::string& id, const std::string& process,
+                       const std::string& replaces) {
+  return {id, process, process + ":7600", false, replaces};
 }
 
 template <typename Step>
@@ -98,11 +99,14 @@
   auto step = manager.next_step(full, start);
   BOOST_REQUIRE(step_as<add_member_step>(step) != nullptr);
   BOOST_TEST(step_as<add_member_step>(step)->member.process == "vm2");
+  BOOST_TEST(step_as<add_member_step>(step)->member.replaces == "r2");
   // Only one membership change at a time.
   group_state changing_group = full;
-  changing_group.members.push_back(learner("r2b", "vm2"));
+  changing_group.members.push_back(learner("r2b", "vm2", "r2"));
   manager.add_candidate("vm3", "10.0.0.3:7600", "r3b", start);
   BOOST_TEST(!manager.next_step(changing_group, start).has_value());
+  changing_group.members.back().voter = true;
+  BOOST_TEST(!manager.next_step(changing_group, start).has_value());
 }
 
 // Guards against a learner that is gone while it joins, and holds up all
@@ -111,7 +115,7 @@
   group_manager manager(make_options("vm1", "10.0.0.1:7600"));
   group_state joining =
       make_leader_state({voter("r1", "vm1"), voter("r2", "vm2"),
-                         voter("r3", "vm3"), learner("r4", "vm4")});
+                         voter("r3", "vm3"), learner("r4", "vm4", "r3")});
   for (const char* process : {"vm2", "vm4", "vm5"}) {
     manager.session_up(process);
   }
@@ -131,7 +135,7 @@
   const auto added = manager.next_step(joining, late);
   BOOST_REQUIRE(step_as<add_member_step>(added) != nullptr);
   BOOST_TEST((step_as<add_member_step>(added)->member ==
-              replica_member{"r5", "vm5", "10.0.0.5:7600", false}));
+              replica_member{"r5", "vm5", "10.0.0.5:7600", false, "r3"}));
 }
 
 // Guards against a process that asked, and was lost, being admitted before one
@@ -154,6 +158,32 @@
   BOOST_TEST(step_as<add_member_step>(added)->member.process == "vm5");
 }
 
+// A member that is lost has no vote to give, one that leaves still has.
+BOOST_AUTO_TEST_CASE(
+    seat_of_a_lost_member_is_taken_before_that_of_a_leaving_one) {
+  group_manager manager(make_options("vm1", "10.0.0.1:7600"));
+  group_state joining = make_leader_state(
+      {voter("r1", "vm1"), voter("r2", "vm2"), voter("r3", "vm3")});
+  for (const char* process : {"vm2", "vm3", "vm4"}) {
+    manager.session_up(process);
+  }
+  manager.add_leaving("r2", start);
+  manager.add_candidate("vm4", "10.0.0.4:7600", "r4", start);
+  auto added = manager.next_step(joining, start);
+  BOOST_REQUIRE(step_as<add_member_step>(added) != nullptr);
+  BOOST_TEST(step_as<add_member_step>(added)->member.replaces == "r2");
+  joining.members.push_back(step_as<add_member_step>(added)->member);
+  BOOST_TEST(!manager.next_step(joining, start).has_value());
+  // Another member is lost before the learner is a voter.
+  manager.session_lost("vm3", start, start);
+  const time_point late = start + seconds(3);
+  manager.add_leaving("r2", late);
+  added = manager.next_step(joining, late);
+  BOOST_REQUIRE(step_as<add_member_step>(added) != nullptr);
+  BOOST_TEST((step_as<add_member_step>(added)->member ==
+              replica_member{"r4", "vm4", "10.0.0.4:7600", false, "r3"}));
+}
+
 BOOST_AUTO_TEST_CASE(lost_member_is_replaced_then_removed) {
   group_manager manager(make_options("vm1", "10.0.0.1:7600"));
   const group_state full = make_leader_state(
@@ -171,7 +201,8 @@
   const auto added = manager.next_step(full, late);
   BOOST_REQUIRE(step_as<add_member_step>(added) != nullptr);
   BOOST_TEST((step_as<add_member_step>(added)->member ==
-              replica_member{"r4", "vm4", "10.0.0.4:7600", false}));
+              replica_member{"r4", "vm4", "10.0.0.4:7600", false, "r3"}));
+  // A leader of an earlier version has added it without an exchange of seats.
   group_state four = full;
   four.members.push_back(voter("r4", "vm4"));
   manager.session_up("vm4");
--- a/test/log_cluster.cc
+++ b/test/log_cluster.cc
@@ -317,7 +317,7 @@
   return true;
 }
 
-bool log_cluster::join(std::size_t i) {
+bool log_cluster::join(std::size_t i, const std::string& replaces) {
   const auto by = leader();
   if (!by || !nodes_[i].log || nodes_[*by].frozen_until > now_) {
     return false;
@@ -326,14 +326,27 @@
   if (log.settled(nodes_[i].id)) {
     return true;
   }
+  const bool is_voter = std::any_of(
+      log.members().begin(), log.members().end(),
+      [&](const replica_member& each) {
+        return each.voter && each.id == replaces && each.id != nodes_[i].id;
+      });
   // Rejected while another change is in progress; the operator tries again.
-  log.add_learner(now_, {nodes_[i].id, nodes_[i].process, "", false})
+  log.add_learner(now_, {nodes_[i].id, nodes_[i].process, "", false,
+                         is_voter ? replaces : ""})
       .IgnoreError();
   pump(*by);
   schedule_tick(*by);
   return false;
 }
 
+void log_cluster::call(std::size_t i,
+                       const std::function<void(replicated_log&)>& change) {
+  change(*nodes_[i].log);
+  pump(i);
+  schedule_tick(i);
+}
+
 bool log_cluster::make_progress(duration limit) {
   const std::uint64_t before = acknowledged_;
   return run_until(
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -85,8 +85,11 @@
   std::optional<std::size_t> leader() const;
   /// Proposes at node i; returns whether it took the command.
   bool propose(std::size_t i);
-  /// Performs one operator step towards node i being a settled member.
-  bool join(std::size_t i);
+  /// Performs one operator step towards node i being a settled member, which
+  /// takes the seat of the voter `replaces` if there is one.
+  bool join(std::size_t i, const std::string& replaces = "");
+  /// Calls a replica that is up, and performs what follows from the call.
+  void call(std::size_t i, const std::function<void(replicated_log&)>& change);
   /// Proposes at leaders until a command is acknowledged.
   bool make_progress(duration limit);
   /// Checks that all running members hold the same state and nothing is
--- a/test/log_random-test.cc
+++ b/test/log_random-test.cc
@@ -116,13 +116,15 @@
       log.remove_member(cluster.now(), id).IgnoreError();
     } else {
       joining_ = i;
+      replaced_ = draw(2) == 0 ? cluster.at(draw(vms)).id : "";
     }
   }
 
   // A VM whose process is not a member may stay outside the group.
   void repair() {
-    if (joining_ && (cluster.join(*joining_))) {
+    if (joining_ && cluster.join(*joining_, replaced_)) {
       joining_.reset();
+      replaced_.clear();
     }
   }
 
@@ -144,6 +146,7 @@
   }
 
   std::optional<std::size_t> joining_;
+  std::string replaced_;  // id of the voter whose seat it takes, or ""
 };
 
 std::uint64_t number_from(const char* name, std::uint64_t otherwise) {
--- a/test/replaced_members-test.cc
+++ b/test/replaced_members-test.cc
@@ -141,9 +141,9 @@
 };
 
 const role lost_members[] = {role::leader, role::follower};
-// From its start, when a successor is lost: before it was heard of, and while
-// it asks.
-const int successor_lost_ms[] = {100, 700, 1200, 1800, 2400};
+// From its start, when a successor is lost: before it was heard of, while it
+// asks, and about when it is admitted.
+const int successor_lost_ms[] = {100, 700, 1200, 1800, 2400, 2600, 2800};
 
 }  // namespace
 
--- a/test/replicated_log-test.cc
+++ b/test/replicated_log-test.cc
@@ -180,6 +180,98 @@
   BOOST_TEST(!log.settled(of.at(3).id));
 }
 
+// Guards against a list of four voters two of which are lost: the member that
+// is replaced, and the one that has just taken its seat.
+BOOST_DATA_TEST_CASE(a_successor_lost_as_it_takes_a_seat_costs_no_majority,
+                     data::make({false, true}), stays_up) {
+  group of(1, 5);
+  replicated_log& log = *of.at(of.first).log;
+  const std::size_t replaced = of.follower();
+  const std::string id = of.at(replaced).id;
+  if (!stays_up) {
+    of.crash(replaced);
+  }
+  const replica_member successor{of.at(3).id, "vm-3", "", false, id};
+  BOOST_TEST(log.add_learner(of.now(), successor).ok());
+  const auto votes = [&] {
+    return std::any_of(log.members().begin(), log.members().end(),
+                       [&](const replica_member& each) {
+                         return each.voter && each.id == successor.id;
+                       });
+  };
+  for (int step = 0; !votes() && step < 5000; ++step) {
+    of.run_for(milliseconds(1));
+  }
+  BOOST_TEST(votes());
+  BOOST_TEST(!log.removed(id));
+  of.crash(3);
+  of.crash(replaced);
+  BOOST_TEST(of.make_progress(bound));
+  BOOST_TEST(of.run_until([&] { return log.removed(id); }, bound));
+  // The next one takes the seat of the one that was lost.
+  BOOST_TEST(of.run_until([&] { return of.join(4, successor.id); }, bound));
+  BOOST_TEST(log.members().size() == members);
+  BOOST_TEST(log.removed(successor.id));
+}
+
+// The old voters can still elect another leader, so the leader and the new
+// voter alone commit nothing.
+BOOST_AUTO_TEST_CASE(a_seat_changes_hands_with_a_majority_of_the_old_voters) {
+  group of(1, 4);
+  replicated_log& log = *of.at(of.first).log;
+  const std::size_t replaced = of.follower();
+  const std::size_t other = members - of.first - replaced;
+  of.cut(of.first, 3, false);
+  BOOST_TEST(log.add_learner(of.now(), {of.at(3).id, "vm-3", "", false,
+                                        of.at(replaced).id})
+                 .ok());
+  of.run_for(seconds(1));
+  of.heal();
+  for (const std::size_t old : {replaced, other}) {
+    of.cut(old, of.first, false);
+    of.cut(old, 3, false);
+  }
+  const std::uint64_t committed = log.commit_index();
+  BOOST_TEST(of.run_until([&] { return log.members().back().voter; }, bound));
+  of.propose(of.first);
+  BOOST_TEST(of.run_until(
+      [&] { return of.leader() && *of.leader() != of.first; }, bound));
+  BOOST_TEST(log.commit_index() == committed);
+  BOOST_TEST(of.make_progress(bound));
+  of.heal();
+  const std::string id = of.at(replaced).id;
+  BOOST_TEST(of.run_until([&] { return of.join(3, id); }, bound));
+  BOOST_TEST(of.make_progress(bound));
+  of.check_convergence();
+}
+
+// Guards against a seat that is taken while another voter is lost, so that the
+// group can't go on without the successor.
+BOOST_AUTO_TEST_CASE(a_seat_is_taken_only_if_the_group_can_lose_the_successor) {
+  group of(1, 4);
+  replicated_log& log = *of.at(of.first).log;
+  const std::size_t lost = of.follower();
+  const std::size_t replaced = members - of.first - lost;
+  of.crash(lost);
+  of.run_for(seconds(1));
+  const auto join = [&](std::size_t whose) {
+    return log.add_learner(of.now(),
+                           {of.at(3).id, "vm-3", "", false, of.at(whose).id});
+  };
+  BOOST_TEST(join(replaced).ok());
+  of.run_for(seconds(5));
+  BOOST_TEST(log.members().size() == members + 1);
+  BOOST_TEST(!log.members().back().voter);
+  // The seat of the lost voter needs no vote of the learner.
+  BOOST_TEST(join(lost).ok());
+  BOOST_TEST(of.run_until([&] { return log.removed(of.at(lost).id); }, bound));
+  BOOST_TEST(log.members().size() == members);
+  BOOST_TEST(of.make_progress(bound));
+  BOOST_TEST(
+      (log.add_learner(of.now(), {"x", "vm-x", "", false, "nobody"}).code() ==
+       absl::StatusCode::kNotFound));
+}
+
 BOOST_AUTO_TEST_CASE(a_leader_removes_itself_and_another_leads) {
   group of;
   replicated_log& log = *of.at(of.first).log;
