Followers record which members they have no session to

What callers would see: of two members of a group of five, one is lost and the leader leaves. The successor that leads next started after the loss, and the other successor is not a member within its repair time, so that another loss may cost the majority (CONFIG). Seen in member_replacement-test only.

Cause: a process that never had a session to a member counts it as lost from when it noticed that, and only a leader looked.

Ruled out: a learner whose seat isn't taken (there is none).

Change: the members are looked at whether the process leads or not.

--- a/src/control/group_manager.cc
+++ b/src/control/group_manager.cc
@@ -123,6 +123,7 @@
   if (!state.has_disk) {
     return std::nullopt;
   }
+  record_disconnected(state, now);
   if (state.leads) {
     return next_leader_step(state, now);
   }
@@ -144,16 +145,21 @@
   return std::nullopt;
 }
 
-std::optional<group_step> group_manager::next_leader_step(
-    const group_state& state, time_point now) {
-  // Members that this process has no session to, without having seen the loss,
-  // count as disconnected from now on.
+// Members that this process has no session to, without having seen the loss,
+// count as disconnected from now on. A follower records them too, since it may
+// lead next.
+void group_manager::record_disconnected(const group_state& state,
+                                        time_point now) {
   for (const replica_member& member : state.members) {
     if (member.process != options_.process &&
         connected_.count(member.process) == 0) {
       lost_sessions_.emplace(member.process, lost_session{now, now});
     }
   }
+}
+
+std::optional<group_step> group_manager::next_leader_step(
+    const group_state& state, time_point now) {
   if (seat_changes_hands(state.members)) {
     return std::nullopt;  // the log completes this by itself
   }
--- a/src/control/group_manager.h
+++ b/src/control/group_manager.h
@@ -124,6 +124,7 @@
   };
 
   bool should_create_group() const;
+  void record_disconnected(const group_state& state, time_point now);
   std::optional<group_step> next_leader_step(const group_state& state,
                                              time_point now);
   std::optional<group_step> next_learner_step(const group_state& state,
--- a/test/group_keeper-test.cc
+++ b/test/group_keeper-test.cc
@@ -230,6 +230,27 @@
   BOOST_TEST(!manager.next_step(full, later).has_value());
 }
 
+// Guards against a leader that started after a member was lost, and counts the
+// loss only from when it leads.
+BOOST_AUTO_TEST_CASE(follower_records_members_that_it_has_no_session_to) {
+  group_manager manager(make_options("vm4", "10.0.0.4:7600"));
+  group_state state =
+      make_leader_state({voter("r1", "vm1"), voter("r2", "vm2"),
+                         voter("r3", "vm3"), learner("r4", "vm4", "r3")});
+  state.leads = false;
+  state.replica = "r4";
+  manager.session_up("vm1");
+  manager.session_up("vm2");
+  BOOST_TEST(!manager.next_step(state, start).has_value());
+  state.leads = true;
+  state.members = {voter("r1", "vm1"), voter("r3", "vm3"), voter("r4", "vm4")};
+  const time_point late = start + seconds(3);
+  manager.add_candidate("vm5", "10.0.0.5:7600", "r5", late);
+  const auto added = manager.next_step(state, late);
+  BOOST_REQUIRE(step_as<add_member_step>(added) != nullptr);
+  BOOST_TEST(step_as<add_member_step>(added)->member.replaces == "r3");
+}
+
 // Where the repair time is longer, a member has longer to come back.
 BOOST_AUTO_TEST_CASE(repair_time_decides_when_a_member_is_replaced) {
   group_manager_options options = make_options("vm1", "10.0.0.1:7600");
