Replica: require the calls for the group's own changes of every replica

The linter found that a default with an empty body copies its parameter. The stand-ins of the tests and of a bench say what they do instead.

--- a/bench/control.cc
+++ b/bench/control.cc
@@ -42,6 +42,11 @@
                   std::function<void(absl::Status)> done) override {
     done(absl::OkStatus());
   }
+  void identify(const std::string&, identity_handler) override {}
+  absl::Status add_learner(const replica_member&) override {
+    return absl::OkStatus();
+  }
+  std::set<std::string> silent_members() const override { return {}; }
   void remove_member(const std::string& /*id*/,
                      std::function<void(absl::Status)> done) override {
     done(absl::OkStatus());
--- a/src/control/member_joiner.cc
+++ b/src/control/member_joiner.cc
@@ -69,9 +69,8 @@
   peers_.connect(process, address);
 }
 
-void member_joiner::identify(
-    const std::string& process,
-    std::function<void(const absl::StatusOr<std::string>&)> done) {
+void member_joiner::identify(const std::string& process,
+                             identity_handler done) {
   identifications_[process] = std::move(done);
   send_probe(process);
 }
--- a/src/control/member_joiner.h
+++ b/src/control/member_joiner.h
@@ -21,6 +21,9 @@
 /// thread only. Preconditions: `peers` and `log` outlive it.
 class member_joiner {
  public:
+  using identity_handler =
+      std::function<void(const absl::StatusOr<std::string>&)>;
+
   /// `on_change` is called after an event was passed to the log.
   member_joiner(peer_hub& peers, replicated_log& log, std::string id,
                 std::function<void()> on_change);
@@ -32,8 +35,7 @@
   void add(const std::string& process, const std::string& address,
            std::function<void(absl::Status)> done);
   /// See replica::identify.
-  void identify(const std::string& process,
-                std::function<void(const absl::StatusOr<std::string>&)> done);
+  void identify(const std::string& process, identity_handler done);
   /// Performs the next step, if one is due.
   void advance();
   time_point next_deadline() const;
@@ -49,9 +51,8 @@
   std::function<void()> on_change_;
   replica_member new_member_;  // id "" until the identity is known
   std::function<void(absl::Status)> done_;
-  // By process, until it replies.
-  std::map<std::string, std::function<void(const absl::StatusOr<std::string>&)>>
-      identifications_;
+  std::map<std::string, identity_handler>
+      identifications_;  // by process, until it replies
   time_point next_probe_;
   time_point deadline_;  // for the identity, then for the catch-up
   // Shared with handlers that may run after the joiner is destroyed.
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -66,9 +66,7 @@
                   std::function<void(absl::Status)> done) override;
   void remove_member(const std::string& id,
                      std::function<void(absl::Status)> done) override;
-  void identify(
-      const std::string& process,
-      std::function<void(const absl::StatusOr<std::string>&)> done) override {
+  void identify(const std::string& process, identity_handler done) override {
     joiner_->identify(process, std::move(done));
   }
   absl::Status add_learner(const replica_member& learner) override;
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -48,6 +48,9 @@
 class replica {
  public:
   using proposal_done = std::function<void(absl::StatusOr<proposal_result>)>;
+  /// Gets the replica id of a process, or why there is none.
+  using identity_handler =
+      std::function<void(const absl::StatusOr<std::string>&)>;
   /// State machines by kind; a command {"kind": K, ...} goes to machine K.
   using machines = std::map<std::string, state_machine*>;
 
@@ -83,19 +86,14 @@
                           std::function<void(absl::Status)> done) = 0;
   /// Asks the process for the id of its replica. `done` gets it, or
   /// FailedPrecondition if that replica belongs to another group. If no reply
-  /// arrives, `done` is not called, and a later call takes its place. The
-  /// default knows no other replica.
-  virtual void identify(
-      const std::string& /*process*/,
-      std::function<void(const absl::StatusOr<std::string>&)> /*done*/) {}
+  /// arrives, `done` is not called, and a later call takes its place.
+  virtual void identify(const std::string& process, identity_handler done) = 0;
   /// Adds a learner without waiting until it is a voter. Errors as for
-  /// replicated_log::add_learner(). The default is Unimplemented.
-  virtual absl::Status add_learner(const replica_member& /*learner*/) {
-    return absl::UnimplementedError("the replica takes no learners");
-  }
+  /// replicated_log::add_learner().
+  virtual absl::Status add_learner(const replica_member& learner) = 0;
   /// Returns the ids of the other members that have not answered lately. Only
-  /// meaningful on the leader. The default knows no other replica.
-  virtual std::set<std::string> silent_members() const { return {}; }
+  /// meaningful on the leader.
+  virtual std::set<std::string> silent_members() const = 0;
   /// Removes the member with this id.
   virtual void remove_member(const std::string& id,
                              std::function<void(absl::Status)> done) = 0;
--- a/test/late-reply-test.cc
+++ b/test/late-reply-test.cc
@@ -29,6 +29,11 @@
   }
   void add_member(const std::string&, const std::string&,
                   std::function<void(absl::Status)>) override {}
+  void identify(const std::string&, identity_handler) override {}
+  absl::Status add_learner(const replica_member&) override {
+    return absl::OkStatus();
+  }
+  std::set<std::string> silent_members() const override { return {}; }
   void remove_member(const std::string&,
                      std::function<void(absl::Status)>) override {}
   absl::Status take_snapshot() override { return absl::OkStatus(); }
--- a/test/memory-replica.h
+++ b/test/memory-replica.h
@@ -36,6 +36,11 @@
   void propose(nlohmann::json command, proposal_done done) override;
   void add_member(const std::string& process, const std::string& address,
                   std::function<void(absl::Status)> done) override;
+  void identify(const std::string&, identity_handler) override {}
+  absl::Status add_learner(const replica_member&) override {
+    return absl::OkStatus();
+  }
+  std::set<std::string> silent_members() const override { return {}; }
   void remove_member(const std::string& id,
                      std::function<void(absl::Status)> done) override;
   absl::Status take_snapshot() override { return absl::OkStatus(); }
