--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -68,29 +69,26 @@
     return fill(template, [fields])
 
 
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+# Below the ports that outgoing connections take.
+FIRST_PORT, LAST_PORT = 20000, 32000
 
 
 def ports_free_on(hosts, count):
-    """Returns `count` consecutive ports that are free on all hosts."""
+    """Returns the first of `count` consecutive ports that are free on all
+    hosts."""
     for _ in range(200):
-        base = free_port(hosts[0])
-        if base + count > 60000:
-            continue
+        base = random.randrange(FIRST_PORT, LAST_PORT - count)
+        probes = []
         try:
-            probes = []
             for host in hosts:
                 for port in range(base, base + count):
                     probe = socket.socket()
-                    probe.bind((host, port))
                     probes.append(probe)
-            for probe in probes:
-                probe.close()
+                    probe.bind((host, port))
             return base
         except OSError:
+            continue
+        finally:
             for probe in probes:
                 probe.close()
     raise RuntimeError("no free ports")
@@ -224,7 +222,8 @@
 
     async def start(self, port=None):
         self.server = await asyncio.start_server(
-            self._serve, self.host, port or self.port or 0)
+            self._serve, self.host,
+            port or self.port or ports_free_on([self.host], 1))
         self.port = self.server.sockets[0].getsockname()[1]
 
     @property
@@ -291,6 +290,7 @@
         self.handles, self.holds = set(), set()
         self.arrivals = []  # requests that arrived, as dicts
         self.runs = []      # requests that ran
+        self.born = int(time.time() * 1000)  # start of its lifetime
         self.on_request = None  # async (self, request, writer) -> None | bool
         self.on_aux = None      # async (self, request, writer) -> None | bool
 
@@ -299,7 +299,7 @@
                "zone": self.zone, "version": self.version,
                "slots": self.slots,
                "state": "draining" if self.draining else "ready",
-               "coldLeftMs": 0}
+               "coldLeftMs": 0, "born": self.born}
         if self.stage:
             out["stage"] = self.stage
             out["models"] = [{"name": "m", "version": 1, "adapters": []}]
@@ -400,7 +400,8 @@
             out = {"stage": self.stage, "busy": False, "seq": self.seq,
                    "models": [{"name": "m", "version": 1, "adapters": []}],
                    "waiting": 0, "running": self.running, "kvUsed": 0,
-                   "kvTotal": 50000, "handles": len(self.handles)}
+                   "kvTotal": 50000, "handles": len(self.handles),
+                   "born": self.born}
         elif path == "/-/order":
             status = 409  # another order is in progress
         body = json.dumps(out).encode()
