--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -601,14 +601,24 @@
 
 
 def run_case(main, folder):
-    """Runs `main(record)` and exits with its verdict."""
+    """Runs `main(record)` and exits with its verdict. Whatever goes wrong in
+    the script itself, and SIGTERM, is "could not run"; the processes that it
+    started are ended first, by the script."""
     record = Record(os.path.join(folder, "record.txt"))
     if not os.access(PROGRAM, os.X_OK):
         sys.exit(record.verdict(NOT_RUN, "the program is not built"))
+
+    async def guarded():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(main(record), 105)
+
     try:
-        code = asyncio.run(asyncio.wait_for(main(record), 110))
+        code = asyncio.run(guarded())
     except asyncio.TimeoutError:
         code = record.verdict(NOT_RUN, "the script took too long")
-    except (OSError, RuntimeError) as error:
+    except asyncio.CancelledError:
+        code = record.verdict(NOT_RUN, "the script was stopped")
+    except Exception as error:  # a fault of the script is no broken rule
         code = record.verdict(NOT_RUN, f"{type(error).__name__}: {error}")
     sys.exit(code)
