Tell an empty list of organisations from none

Callers saw: after a desired state whose `tenants` is an empty list, requests ran with the key that it takes away, with any other key, and without one.

Cause: gateway_configuration held the organisations as a list, so an absent member and an empty one were the same value, and apply_filters() asked for a key only if the list had an entry. Ruled out: that the list is lost where it is stored or sent; both processes read back `"tenants":[]` while requests run.

Change: the list is optional; keys are asked for if there is one. States on disk are stored as text, so they are read as what they were.

--- a/src/gateway/admission_filter.cc
+++ b/src/gateway/admission_filter.cc
@@ -33,7 +33,7 @@
                         : stale_configuration("configuration_not_fresh");
     return out;
   }
-  if (out.route->open || !table.has_organisations()) {
+  if (out.route->open || !table.requires_keys()) {
     return out;
   }
   if (!fresh) {
--- a/src/gateway/gateway_configuration.cc
+++ b/src/gateway/gateway_configuration.cc
@@ -34,6 +34,22 @@
   return "";
 }
 
+std::string find_shared_key(
+    const std::vector<gateway_organisation>& organisations) {
+  std::map<std::string, std::string> organisation_by_digest;
+  for (const gateway_organisation& organisation : organisations) {
+    for (const std::string& digest : organisation.key_digests) {
+      const auto first_holder =
+          organisation_by_digest.emplace(digest, organisation.name).first;
+      if (first_holder->second != organisation.name) {
+        return fmt::format("organisations {} and {} share a key",
+                           first_holder->second, organisation.name);
+      }
+    }
+  }
+  return "";
+}
+
 template <typename Items>
 std::unordered_map<std::string, std::size_t> index_by_name(const Items& items) {
   std::unordered_map<std::string, std::size_t> out;
@@ -69,23 +85,12 @@
                          route.name, route.host, route.path_prefix);
     }
   }
-  std::map<std::string, std::string> organisation_by_digest;
-  for (const gateway_organisation& organisation : in.organisations) {
-    for (const std::string& digest : organisation.key_digests) {
-      const auto first_holder =
-          organisation_by_digest.emplace(digest, organisation.name).first;
-      if (first_holder->second != organisation.name) {
-        return fmt::format("organisations {} and {} share a key",
-                           first_holder->second, organisation.name);
-      }
-    }
-  }
-  return "";
+  return in.organisations ? find_shared_key(*in.organisations) : "";
 }
 
 routing_table::routing_table(gateway_configuration configuration)
     : configuration_(std::move(configuration)),
-      organisations_by_name_(index_by_name(configuration_.organisations)),
+      organisations_by_name_(index_by_name(organisations())),
       services_by_name_(index_by_name(configuration_.services)),
       urgencies_(configuration_) {
   const auto& routes = configuration_.routes;
@@ -99,8 +104,8 @@
                               routes[rhs].path_prefix.size();
                      });
   }
-  for (std::size_t i = 0; i < configuration_.organisations.size(); ++i) {
-    for (const auto& digest : configuration_.organisations[i].key_digests) {
+  for (std::size_t i = 0; i < organisations().size(); ++i) {
+    for (const auto& digest : organisations()[i].key_digests) {
       organisations_by_key_digest_.emplace(digest, i);
     }
   }
@@ -123,13 +128,12 @@
 
 const gateway_organisation* routing_table::find_organisation(
     const std::string& key_digest) const {
-  return find_in(organisations_by_key_digest_, configuration_.organisations,
-                 key_digest);
+  return find_in(organisations_by_key_digest_, organisations(), key_digest);
 }
 
 const gateway_organisation* routing_table::find_organisation_by_name(
     const std::string& name) const {
-  return find_in(organisations_by_name_, configuration_.organisations, name);
+  return find_in(organisations_by_name_, organisations(), name);
 }
 
 const gateway_service* routing_table::find_service(
@@ -137,4 +141,9 @@
   return find_in(services_by_name_, configuration_.services, name);
 }
 
+const std::vector<gateway_organisation>& routing_table::organisations() const {
+  static const std::vector<gateway_organisation> none;
+  return configuration_.organisations ? *configuration_.organisations : none;
+}
+
 }  // namespace citronwharf
--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -106,7 +106,8 @@
   std::uint64_t version = 0;  ///< set by operators; 0: none yet
   std::vector<gateway_route> routes;
   std::vector<gateway_service> services;
-  std::vector<gateway_organisation> organisations;
+  /// None: requests need no key. An empty list: no key is valid.
+  std::optional<std::vector<gateway_organisation>> organisations;
   caller_limits limits;
 };
 CITRONWHARF_VALUE(gateway_configuration, version, routes, services,
@@ -137,13 +138,16 @@
       const std::string& name) const;
   const gateway_service* find_service(const std::string& name) const;
   const urgency_table& urgencies() const { return urgencies_; }
-  /// Returns whether any organisations are configured, that is, whether
-  /// requests may need a key.
-  bool has_organisations() const {
-    return !configuration_.organisations.empty();
+  /// Returns whether requests need the key of an organisation, except on open
+  /// routes. Also true if the list of organisations is empty.
+  bool requires_keys() const {
+    return configuration_.organisations.has_value();
   }
 
  private:
+  /// Returns the list of organisations, empty if there is none.
+  const std::vector<gateway_organisation>& organisations() const;
+
   gateway_configuration configuration_;
   // Indexes into the routes by host in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
--- a/src/gateway/urgency.cc
+++ b/src/gateway/urgency.cc
@@ -40,8 +40,10 @@
   for (auto& [service, ranks] : route_ranks_) {
     make_distinct(ranks);
   }
-  for (const gateway_organisation& each : in.organisations) {
-    organisation_ranks_.push_back(each.rank);
+  if (in.organisations) {
+    for (const gateway_organisation& each : *in.organisations) {
+      organisation_ranks_.push_back(each.rank);
+    }
   }
   make_distinct(organisation_ranks_);
 }
--- a/test/gateway-decisions-test.cc
+++ b/test/gateway-decisions-test.cc
@@ -40,7 +40,8 @@
   open.path_prefix = "/open/";
   open.open = true;
   out.routes = {wide, narrow, open};
-  out.organisations = {{"importers", {digest_of("secret")}, 0, 100, 200, 20}};
+  out.organisations = {gateway_organisation{
+      "importers", {digest_of("secret")}, 0, 100, 200, 20}};
   return out;
 }
 
@@ -77,8 +78,8 @@
       {"timeout", [](auto& in) { in.routes[0].timeout_ms = 0; }},
       {"share a key",
        [](auto& in) {
-         in.organisations.push_back(in.organisations[0]);
-         in.organisations[1].name = "brokers";
+         in.organisations->push_back(in.organisations->front());
+         in.organisations->back().name = "brokers";
        }},
   };
   BOOST_TEST(find_fault(test_configuration()) == "");
@@ -128,9 +129,34 @@
       apply_filters(none, request_to("/a/x", ""), true).refusal->status == 503);
 }
 
+// Guards against an empty list of organisations being taken for no list, with
+// which any key is accepted.
+BOOST_AUTO_TEST_CASE(an_empty_list_of_organisations_makes_no_key_valid) {
+  gateway_configuration in = test_configuration();
+  in.organisations.emplace();
+  const routing_table empty(in);
+  in.organisations.reset();
+  const routing_table none(in);
+  const auto status_of = [](const routing_table& table, const char* path,
+                            const char* key, bool fresh) {
+    const filter_result got =
+        apply_filters(table, request_to(path, key), fresh);
+    return got.refusal ? got.refusal->status : 0;
+  };
+  for (const char* key : {"secret", "wrong", ""}) {
+    BOOST_TEST_CONTEXT(key) {
+      BOOST_TEST(status_of(empty, "/a/x", key, true) == 401);
+      BOOST_TEST(status_of(empty, "/a/x", key, false) == 503);
+      BOOST_TEST(status_of(empty, "/open/x", key, true) == 0);
+      BOOST_TEST(status_of(none, "/a/x", key, true) == 0);
+    }
+  }
+  BOOST_TEST(empty.find_organisation_by_name("importers") == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(
     allowance_counts_prompt_and_output_tokens_or_a_flat_amount) {
-  const gateway_organisation of = test_configuration().organisations[0];
+  const gateway_organisation of = test_configuration().organisations->front();
   caller_request plain;
   BOOST_TEST(allowance_tokens(of, plain) == 20);
   plain.prompt_tokens = 1460;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -86,11 +86,31 @@
   BOOST_TEST(read->services[0].engine->switch_ms == 6000);
   BOOST_TEST(read->services[0].engine->tokens_per_event == 12);
   BOOST_TEST(!read->services[1].engine.has_value());
-  BOOST_TEST(read->organisations[0].key_digests[1] == digest_of("k2"));
-  BOOST_TEST(read->organisations[0].tokens_per_plain_request == 200);
+  BOOST_TEST(read->organisations->front().key_digests[1] == digest_of("k2"));
+  BOOST_TEST(read->organisations->front().tokens_per_plain_request == 200);
   BOOST_TEST(read->limits.max_header_bytes == 8192);
 }
 
+// Guards against an absent list of organisations and an empty one being read as
+// the same.
+BOOST_AUTO_TEST_CASE(absent_list_of_organisations_differs_from_an_empty_one) {
+  nlohmann::json document = configuration_document();
+  document["tenants"] = nlohmann::json::array();
+  const auto empty = platform::read_configuration(document.dump());
+  BOOST_REQUIRE(empty.ok());
+  BOOST_REQUIRE(empty->organisations.has_value());
+  BOOST_TEST(empty->organisations->empty());
+  document.erase("tenants");
+  const auto absent = platform::read_configuration(document.dump());
+  BOOST_REQUIRE(absent.ok());
+  BOOST_TEST(!absent->organisations.has_value());
+  BOOST_TEST((*empty != *absent));
+  // The difference is kept where a configuration is written and read again.
+  for (const gateway_configuration& each : {*empty, *absent}) {
+    BOOST_TEST((nlohmann::json(each).get<gateway_configuration>() == each));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(
     invalid_configuration_document_is_rejected_with_the_reason) {
   const auto document_with = [](const char* pointer,
--- a/test/urgency-test.cc
+++ b/test/urgency-test.cc
@@ -47,7 +47,8 @@
   const urgency_table table(in);
   BOOST_TEST(!table.has_ranks("chat"));
   BOOST_TEST(table.of_route("chat", in.routes[0]) == 0);
-  BOOST_TEST(table.of_request("chat", in.routes[0], &in.organisations[0]) == 0);
+  BOOST_TEST(table.of_request("chat", in.routes[0], &in.organisations->at(0)) ==
+             0);
   BOOST_TEST(table.levels("chat") == 1);
   BOOST_TEST(table.levels("unknown") == 1);
 }
@@ -58,8 +59,8 @@
   in.organisations = {make_organisation("importers", 0),
                       make_organisation("exporters", 5)};
   const urgency_table table(in);
-  const auto& importers = in.organisations[0];
-  const auto& exporters = in.organisations[1];
+  const auto& importers = in.organisations->at(0);
+  const auto& exporters = in.organisations->at(1);
   BOOST_TEST(table.of_request("chat", in.routes[1], &importers) <
              table.of_request("chat", in.routes[0], &exporters));
   BOOST_TEST(table.of_request("chat", in.routes[1], &exporters) == 3);
