Refuse published lists that are null

Callers saw: after a desired state with `"tenants": null`, any key runs; with `"routes": null`, all routes are gone.

Cause: read_document() iterates over each list without a look at its type, and null is a range without elements, an object one of its values. Found beside the empty list of organisations; not reported.

Change: what operators publish is decoded by read_new_configuration(), which refuses `routes`, `services`, `tenants` and `apiKeys` that are no lists (400). What is stored already, or comes from a process of an earlier release, is read as before.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -214,6 +214,12 @@
   /// Decodes and validates a configuration; the error describes the fault.
   std::function<absl::StatusOr<gateway_configuration>(const std::string& body)>
       read_configuration;
+  /// Like read_configuration, for a configuration that an operator publishes:
+  /// refuses lists that are null or no lists, too. Earlier releases stored
+  /// configurations with such members, and read_configuration goes on reading
+  /// them as before.
+  std::function<absl::StatusOr<gateway_configuration>(const std::string& body)>
+      read_new_configuration;
   std::function<bool(const http_request&)> asks_readiness;
 };
 
--- a/src/gateway/operator_api.cc
+++ b/src/gateway/operator_api.cc
@@ -26,7 +26,7 @@
 
 void publish(const gateway_codec& codec, document_cluster& cluster,
              http_request request, const shared_exchange& exchange) {
-  const auto read = codec.read_configuration(request.body);
+  const auto read = codec.read_new_configuration(request.body);
   if (!read.ok()) {
     respond_with(codec, exchange, "publish", 0, status_invalid,
                  std::string(read.status().message()));
--- a/test/gateway-key-removal-test.cc
+++ b/test/gateway-key-removal-test.cc
@@ -166,6 +166,23 @@
   BOOST_TEST(runs == runs_before);
 }
 
+// Guards against a list that is null being published as an empty or an absent
+// one.
+BOOST_FIXTURE_TEST_CASE(a_list_that_is_null_is_refused_and_changes_nothing,
+                        key_removal_fixture) {
+  for (const char* list : {"tenants", "routes", "services"}) {
+    json state = state_with(2, json::array());
+    state[list] = nullptr;
+    BOOST_TEST_CONTEXT(list) {
+      BOOST_TEST(put(state).status == 400);
+    }
+  }
+  for (const char* host : hosts) {
+    BOOST_TEST(status_at(host) == 200);
+    BOOST_TEST(status_at(host, "never") == 401);
+  }
+}
+
 // Guards against reading an absent list as an empty one: such a configuration
 // has no organisations and asks for no key.
 BOOST_FIXTURE_TEST_CASE(no_key_is_needed_without_a_list_of_organisations,
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -143,6 +143,38 @@
   }
 }
 
+// Guards against a list that is null, or no list, being published as an empty
+// one, which takes all routes or keys away.
+BOOST_AUTO_TEST_CASE(a_member_that_is_no_list_is_not_published_as_one) {
+  for (const char* pointer :
+       {"/routes", "/services", "/tenants", "/tenants/0/apiKeys"}) {
+    for (const nlohmann::json& value :
+         {nlohmann::json(nullptr), nlohmann::json(false), nlohmann::json(0),
+          nlohmann::json("k1"), nlohmann::json::object()}) {
+      nlohmann::json document = configuration_document();
+      // Without routes there is no unknown service.
+      document["routes"] = nlohmann::json::array();
+      document[nlohmann::json::json_pointer(pointer)] = value;
+      const auto read = platform::read_new_configuration(document.dump());
+      BOOST_TEST_CONTEXT(pointer << ": " << value) {
+        BOOST_REQUIRE(!read.ok());
+        BOOST_TEST(std::string(read.status().message()).find("list") !=
+                   std::string::npos);
+      }
+    }
+  }
+  nlohmann::json document = configuration_document();
+  BOOST_TEST(platform::read_new_configuration(document.dump()).ok());
+  for (const char* absent_or_empty : {"[]", "5", "null", "{\"version\":1}"}) {
+    BOOST_TEST(!platform::read_new_configuration(absent_or_empty).ok());
+  }
+  // A null that an earlier release stored is read as an absent member.
+  document["tenants"] = nullptr;
+  const auto stored = platform::read_configuration(document.dump());
+  BOOST_REQUIRE(stored.ok());
+  BOOST_TEST(!stored->organisations.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(connection_header_does_not_hide_what_a_request_is) {
   http_request in = sample_request();
   in.headers.push_back(
