Take every 2xx for a success, not 200 alone

Callers saw: a stream answered with 206 and a few bytes, without the server's signature, as a whole success, though another engine was sound.

Cause: stream_forwarder compared the status with 200. Any other one was collected as an error and delivered, or kept if it came from a replacement and delivered once the silent engine was lost. The trails show answer(206) without `unsigned` on the first request over a connection, which rules out a signature taken from another response. Holds, prompts, orders, the list of servers and the engine client compared in the same way; there a success was a refusal.

Change: is_success() in net/http_status.h, at each of these places. A signed 204 is passed on; a signed stream of any 2xx is relayed as it comes.

--- a/src/endpoint/engine_client.cc
+++ b/src/endpoint/engine_client.cc
@@ -5,6 +5,7 @@
 
 #include "base/decode.h"
 #include "endpoint/token_reader.h"
+#include "net/http_status.h"
 
 namespace citronwharf {
 namespace {
@@ -24,9 +25,10 @@
 CITRONWHARF_VALUE(held_list, requests)
 
 engine_error from_status(int status) {
+  if (is_success(status)) {
+    return {failure_reason::none, true, status};
+  }
   switch (status) {
-    case status_ok:
-      return {failure_reason::none, true, status};
     case status_export_expired:
       return {failure_reason::export_expired, false, status};
     case status_transfer_failed:
@@ -133,7 +135,7 @@
     state->status = head.status;
   };
   handlers.on_body = [state, on_tokens, on_end](const std::string& data) {
-    if (state->status != status_ok || state->broken) {
+    if (!is_success(state->status) || state->broken) {
       return;
     }
     state->broken = !state->reader.read(data).ok();
@@ -149,7 +151,7 @@
     if (state->broken) {
       return;
     }
-    if (state->status == status_ok && !state->reader.complete()) {
+    if (is_success(state->status) && !state->reader.complete()) {
       on_end(invalid_response);
       return;
     }
--- a/src/gateway/directory_reader.cc
+++ b/src/gateway/directory_reader.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "net/http_status.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -17,7 +18,6 @@
 constexpr int max_refusals = 10;
 // Pages have some 15 KB, but an odd entry may have millions of brackets.
 constexpr std::uint64_t max_page_bytes = 8U << 20U;
-constexpr int status_ok = 200;
 constexpr int status_too_many = 429;
 
 }  // namespace
@@ -82,7 +82,7 @@
     });
     return;
   }
-  if (response->status != status_ok) {
+  if (!is_success(response->status)) {
     fail(fmt::format("status {}", response->status));
     return;
   }
--- a/src/gateway/engine_search.cc
+++ b/src/gateway/engine_search.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "net/http_status.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -27,7 +28,6 @@
 // Prompts at a prefill engine from which on prefill on the decode engine is as
 // fast, at half the speed of an idle engine.
 constexpr std::int64_t max_prefill_queue = 2;
-constexpr int status_ok = 200;
 
 std::string to_text(placement_class turn) {
   return nlohmann::json(turn).get<std::string>();
@@ -289,7 +289,7 @@
   }
   apply_server_headers(context_, id, response_kind::memory, hold_sent_at_,
                        *response);
-  auto hold = response->status == status_ok
+  auto hold = is_success(response->status)
                   ? context_.codec.read_hold(response->body)
                   : absl::StatusOr<std::string>(
                         absl::ResourceExhaustedError("no memory"));
--- a/src/gateway/plain_forward.cc
+++ b/src/gateway/plain_forward.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/forward.h"
+#include "net/http_status.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -25,12 +26,6 @@
 // Limit per response, since responses are buffered whole.
 constexpr std::uint64_t max_response_bytes = 4U << 20U;
 
-bool is_success(int status) {
-  constexpr int first_success = 200;
-  constexpr int first_redirect = 300;
-  return status >= first_success && status < first_redirect;
-}
-
 // A response that is buffered whole. Its body counts against the budget until
 // it is destroyed.
 class buffered_response {
--- a/src/gateway/stage_controller.cc
+++ b/src/gateway/stage_controller.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gateway/call_without_id.h"
+#include "net/http_status.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -16,8 +17,6 @@
 // previous leader have ended.
 constexpr duration takeover_delay = seconds(4);
 constexpr duration order_timeout = seconds(1);
-constexpr int status_ok = 200;
-constexpr int status_accepted = 202;
 
 }  // namespace
 
@@ -150,10 +149,9 @@
           end_order(id, response.status().ToString());
           return;
         }
-        const bool accepted = response->status == status_ok ||
-                              response->status == status_accepted;
-        end_order(id, accepted ? "taken"
-                               : fmt::format("refused ({})", response->status));
+        end_order(id, is_success(response->status)
+                          ? "taken"
+                          : fmt::format("refused ({})", response->status));
       });
 }
 
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -11,6 +11,7 @@
 #include "gateway/forward.h"
 #include "gateway/prefill_limit.h"
 #include "gateway/serving_time.h"
+#include "net/http_status.h"
 #include "observe/event.h"
 
 namespace citronwharf {
@@ -71,7 +72,6 @@
 // second event.
 constexpr duration min_sound_time = milliseconds(500);
 constexpr std::int64_t min_sound_events = 3;
-constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -494,7 +494,7 @@
     }
     apply_server_headers(context(), prefill_server_.id, response_kind::prompt,
                          prefill_started_, *response);
-    if (response->status != status_ok) {
+    if (!is_success(response->status)) {
       add_to_trail(fmt::format("prefill_refused({})", response->status));
       // The engine has no room for another export, which is not a failure.
       context().servers.answers(prefill_server_.id);
@@ -752,11 +752,15 @@
 
   void on_replacement_head(const http_response& head) {
     const server_answer answer = context().codec.read_answer(head);
-    if (answer.status == status_ok && answer.is_signed) {
+    if (is_success(answer.status) && answer.is_signed) {
       replace_silent_engine();
       on_head(head);
       return;
     }
+    if (is_success(answer.status)) {
+      drop_unsigned_replacement(head);
+      return;
+    }
     // The silent engine's call stays, whatever else comes of this response.
     stop_silence_timer();
     replacement_head_ = head;
@@ -771,7 +775,17 @@
     }
   }
 
-  // The response is complete, and no stream.
+  // The response does not carry the signature of the server.
+  void drop_unsigned_replacement(const http_response& head) {
+    apply_server_headers(context(), replacement_call_.server,
+                         response_kind::request, replacement_call_.sent_at,
+                         head);
+    add_to_trail("replacement_unsigned");
+    ++possible_executions_;
+    drop_replacement(server_result::failed, engine_signal::failed);
+  }
+
+  // The response is complete, and an error.
   void on_replacement_response() {
     const server_answer answer = apply_server_headers(
         context(), replacement_call_.server, response_kind::request,
@@ -786,9 +800,7 @@
       drop_replacement(server_result::refused, engine_signal::full);
       return;
     }
-    if (answer.status != status_ok) {
-      error_answer_ = replacement_head_;
-    }
+    error_answer_ = replacement_head_;
     ++possible_executions_;
     drop_replacement(server_result::error, engine_signal::failed);
   }
@@ -878,12 +890,15 @@
     report_.sent = true;
     const server_answer answer = apply_server_headers(
         context(), last_server_, response_kind::request, call_.sent_at, head);
-    if (answer.status == status_ok && !answer.is_signed) {
+    if (is_success(answer.status) && !answer.is_signed) {
       add_to_trail("unsigned");
       finish_attempt(server_result::failed);
       return;
     }
-    if (answer.status == status_ok) {
+    // A response that never has a body ends a request, but no stream that the
+    // caller has a part of.
+    if (is_success(answer.status) &&
+        (stream_started_ || !has_no_body(answer.status))) {
       context().servers.answers(last_server_);
       search_->observe(last_server_, engine_signal::answers);
       response_started_ = true;
@@ -985,6 +1000,7 @@
     }
     if (!stream_started_) {
       stream_started_ = true;
+      stream_status_ = head_.status;
       add_to_trail("first_event");
       cancel_replacement_of_other_version();
       request().exchange->start_stream(context().codec.make_answer(head_));
@@ -1053,7 +1069,7 @@
       request().exchange->finish();
       add_to_trail(fmt::format("events({},max_gap_ms={})", events_,
                                max_gap_.count() / 1000));
-      finish(status_ok, "answered", true);
+      finish(stream_status_, "answered", true);
       return;
     }
     const server_answer answer = context().codec.read_answer(head_);
@@ -1251,8 +1267,9 @@
   event_splitter splitter_;
   std::size_t comment_bytes_ = 0;  // since the last event
   memory_reservation memory_;      // for incomplete events and error bodies
-  bool response_started_ = false;  // the current server answered 200
+  bool response_started_ = false;  // the current server sends a stream
   bool stream_started_ = false;    // to the caller
+  int stream_status_ = 0;          // that the caller got
   std::int64_t events_ = 0;
   time_point first_event_at_{};
   time_point last_event_at_{};
--- a/src/net/http_connection_write.cc
+++ b/src/net/http_connection_write.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include "net/http_connection.h"
+#include "net/http_status.h"
 
 namespace citronwharf::detail {
 
@@ -38,13 +39,6 @@
   return out;
 }
 
-bool has_no_length(int status) {
-  constexpr int first_final = 200;
-  constexpr int no_content = 204;
-  constexpr int not_modified = 304;
-  return status < first_final || status == no_content || status == not_modified;
-}
-
 }  // namespace
 
 void http_connection::update_keep_alive() {
@@ -57,7 +51,7 @@
   update_keep_alive();
   auto message = to_beast(response, keep_alive_);
   message.chunked(false);
-  if (!has_no_length(response.status)) {
+  if (!has_no_body(response.status)) {
     message.content_length(response.body.size());
   }
   std::string head = fmt::format("{}", fmt::streamed(message.base()));
--- a/test/endpoint-engine-test.cc
+++ b/test/endpoint-engine-test.cc
@@ -9,6 +9,7 @@
 #include "endpoint/engine_client.h"
 #include "fake/engine.h"
 #include "fake/tokens.h"
+#include "raw_server.h"
 #include "run-until.h"
 
 using namespace citronwharf;  // NOLINT(google-build-using-namespace)
@@ -212,6 +213,35 @@
   }
 }
 
+// Guards against a success other than 200 being taken for a refusal, which
+// states that the engine ran nothing.
+BOOST_AUTO_TEST_CASE(any_success_is_an_answer) {
+  boost::asio::io_context loop;
+  int status = 0;
+  test::raw_server engine(
+      loop, [&status](const std::string&,
+                      const std::shared_ptr<test::raw_connection>& to) {
+        to->write(test::raw_reply(
+            "", nlohmann::json(engine_export{"e/1/1/1", "x1", "", 0, 0}).dump(),
+            status));
+        to->close();
+      });
+  engine_client client(loop, engine.address());
+  for (status = 200; status < 300; ++status) {
+    if (status == 204) {
+      continue;  // has no body
+    }
+    std::optional<engine_error> got;
+    const auto call = client.prefill(
+        {"e/1/1/1", "model", "prompt", 300, 0}, seconds(5),
+        [&](const engine_error& error, const engine_export&) { got = error; });
+    BOOST_REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+    BOOST_TEST_CONTEXT(status) {
+      BOOST_TEST((got->reason == failure_reason::none));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(cached_prefixes_need_fewer_prefill_tokens) {
   fake::engine_options options = fast_options();
   options.cache_event_delay = milliseconds(0);
