--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -215,9 +215,9 @@
   std::function<absl::StatusOr<gateway_configuration>(const std::string& body)>
       read_configuration;
   /// Like read_configuration, for a configuration that an operator publishes:
-  /// refuses lists that are null or no lists, too. Earlier releases stored
-  /// configurations with such members, and read_configuration goes on reading
-  /// them as before.
+  /// null, or any other value, in place of a list is an error. Earlier releases
+  /// accepted such configurations, so read_configuration still reads those that
+  /// are stored.
   std::function<absl::StatusOr<gateway_configuration>(const std::string& body)>
       read_new_configuration;
   std::function<bool(const http_request&)> asks_readiness;
--- a/src/gateway/stream_forward.cc
+++ b/src/gateway/stream_forward.cc
@@ -895,8 +895,8 @@
       finish_attempt(server_result::failed);
       return;
     }
-    // A response that never has a body ends a request, but no stream that the
-    // caller has a part of.
+    // A success without a body, such as 204, is delivered as it is. It can't
+    // complete a stream that has begun.
     if (is_success(answer.status) &&
         (stream_started_ || !has_no_body(answer.status))) {
       context().servers.answers(last_server_);
